--- /dev/null
+++ b/hoistplank/benchlink/__main__.py
@@ -0,0 +1,27 @@
+"""Runs the router instances on standard input and output."""
+
+from __future__ import annotations
+
+import io
+import sys
+
+from hoistplank.benchlink.codec import WireError
+from hoistplank.benchlink.hosting import Hosting
+
+
+def main() -> int:
+    source = io.TextIOWrapper(sys.stdin.buffer, encoding="utf-8", newline="\n")
+    try:
+        for reply in Hosting().play(source):
+            sys.stdout.write(reply + "\n" if not reply.endswith("\n") else reply)
+            sys.stdout.flush()
+    except (WireError, UnicodeDecodeError) as wrong:
+        print(f"benchlink: {wrong}", file=sys.stderr)
+        return 2
+    except BrokenPipeError:
+        return 1
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/hoistplank/choice.py
@@ -0,0 +1,558 @@
+"""Every decision of the router. Its interface is in hoistplank/interface.py, the design in docs/design.md.
+
+How to call it: make a Router from a Site and a seed; report what happens through the input methods
+(hosts_listed, visit_came, shot_ended, stream_began, client_left, purged, probe_answered, timer_due), which
+only update what is known; then call next_decision(now) until it answers None, and carry out each answer in
+that order. All times are whole microseconds of the caller's clock; the module knows no clock and no wire.
+"""
+
+from __future__ import annotations
+
+from collections import OrderedDict, deque
+from collections.abc import Iterator
+from hashlib import blake2b
+from math import inf, log
+from random import Random
+
+from hoistplank.interface import IRREVERSIBLE, REDOABLE, Decision, HostEntry, Note, Result, Site, Tariff
+
+# Outcomes that prove that a shot never ran.
+NEVER_RAN = frozenset((Result.FULL, Result.NO_CONNECTION, Result.NEVER_SENT, Result.MISS))
+# Outcomes in which the cache host itself spoke, so that it is no silent one.
+SPOKE = frozenset((Result.SUCCEEDED, Result.ERROR, Result.FULL, Result.MISS))
+
+
+class Track:
+    """A row of the track table: the tariff, and the mean sending time as seen so far."""
+
+    __slots__ = ("tariff", "send_us")
+
+    def __init__(self, tariff: Tariff) -> None:
+        self.tariff = tariff
+        self.send_us = float(tariff.goal_us)  # until some are seen: goals lie above the usual sending time
+
+    def saw(self, send_us: float) -> None:
+        self.send_us += (send_us - self.send_us) * 0.02  # 1 in 50: sizes vary widely, their mean hardly moves
+
+
+class Shot:
+    __slots__ = ("visit", "number", "host", "source", "sent", "fill", "look", "withdrawn")
+
+    def __init__(self, visit: Visit, number: int, host: int, source: int, sent: int, fill: bool, look: bool):
+        self.visit, self.number, self.host, self.source = visit, number, host, source
+        self.sent, self.fill, self.look, self.withdrawn = sent, fill, look, False
+
+
+class Visit:
+    """One line of the visit ledger."""
+
+    __slots__ = ("id", "track", "thing", "part", "group", "print", "known_us", "came", "latest", "outer",
+                 "out", "shots", "over", "ran_at", "ran_host", "missed", "not_before", "herd", "marked",
+                 "failed_at")
+
+    def __init__(self, id: str, track: Track, thing: str, part: int, group: int, came: int, outer: int):
+        self.id, self.track, self.thing, self.part, self.group = id, track, thing, part, group
+        self.print = (thing, part, track.tariff.name)
+        self.known_us = 0.0
+        self.came, self.outer, self.latest = came, outer, outer
+        self.shots, self.over, self.ran_at, self.ran_host = 0, False, -1, -1
+        self.out: dict[int, Shot] = {}
+        self.missed, self.not_before, self.marked = -1, 0, False
+        self.herd: Herd | None = None
+        self.failed_at: list[int] = []
+
+    def send_us(self) -> float:
+        return self.known_us or self.track.send_us
+
+
+class Herd:
+    """What is known of one fingerprint: its bucket, its leader, and where a copy was last seen."""
+
+    __slots__ = ("tokens", "stamp", "leader", "host", "life", "seen", "born")
+
+    def __init__(self, now: int) -> None:
+        self.tokens, self.stamp, self.leader = 1.0, now, None  # type: float, int, Shot | None
+        self.host, self.life, self.seen, self.born = -1, 0, 0, 0
+
+
+def _mix(text: str) -> int:
+    return int.from_bytes(blake2b(text.encode(), digest_size=8).digest(), "big")
+
+
+class Router:
+    def __init__(self, site: Site, seed: int) -> None:
+        self.site, self.rules = site, site.rules
+        self.chance = Random(seed).random
+        self.tracks = {tariff.name: Track(tariff) for tariff in site.tariffs}
+        # Cache hosts: parallel arrays under a dense index that a host keeps for good.
+        self.index: dict[str, int] = {}
+        self.names: list[str] = []
+        self.salts: list[int] = []
+        self.zones: list[str] = []
+        self.cells: list[int] = []
+        self.units: list[float] = []
+        self.states: list[str] = []
+        self.started: list[int] = []
+        self.cold_since: list[int] = []  # -1: warm
+        self.life: list[int] = []
+        self.spent: list[deque[tuple[int, float]]] = []
+        self.out_at: list[dict[Shot, None]] = []
+        self.heard: list[int] = []
+        self.silent_until: list[int] = []
+        self.silences: list[int] = []
+        self.room: list[float] = []
+        self.usual: list[float] = []
+        self.lately: list[float] = []
+        self.caches: list[int] = []
+        self.parents: list[int] = []
+        self.origin = -1
+        self.listed_once = False
+        self.herds: OrderedDict[tuple[str, int, str], Herd] = OrderedDict()
+        self.floors: OrderedDict[str | int, int] = OrderedDict()
+        self.ledger: dict[str, Visit] = {}
+        self.waiting: dict[str, Visit] = {}
+        self.fills_out = 0
+        self.outbox: deque[Decision] = deque()
+        self.stirred = False
+        self.wake_at, self.token = 0, 0
+        self.asked_at = -1
+        # Fills that fill the location's link at a client's pace, a third more to keep it busy between them.
+        self.fill_room = inf
+        if site.link_kb_s > 0 and site.stream_kb_s > 0:
+            self.fill_room = max(2.0, 1.3 * site.link_kb_s / site.stream_kb_s / max(1, site.dispatchers_here))
+
+    # Inputs: they only update what is known.
+
+    def hosts_listed(self, now: int, form: str, entries: list[HostEntry]) -> None:
+        self.stirred = True
+        if form == "failed":
+            self.asked_at = -1
+            return
+        named = set()
+        for entry in entries:
+            named.add(entry.host)
+            self._list(now, entry)
+        if form != "changes":
+            for host, i in self.index.items():
+                if host not in named:
+                    self.states[i] = "gone"
+        self.listed_once = True
+
+    def _list(self, now: int, entry: HostEntry) -> None:
+        i = self.index.get(entry.host, -1)
+        fresh = i < 0
+        if fresh:
+            i = self.index[entry.host] = len(self.names)
+            self.names.append(entry.host)
+            self.salts.append(_mix(entry.host))
+            for row, first in ((self.cells, 0), (self.started, 0), (self.cold_since, -1), (self.life, 0),
+                               (self.heard, now), (self.silent_until, 0), (self.silences, 0)):
+                row.append(first)
+            for ratio, start in ((self.units, 1.0), (self.room, 12.0), (self.usual, 0.0), (self.lately, 0.0)):
+                ratio.append(start)
+            self.zones.append("")
+            self.states.append("gone")
+            self.spent.append(deque())
+            self.out_at.append({})
+            if entry.kind == self.site.origin_kind:
+                self.origin = i
+            elif entry.kind == self.site.parent_kind:
+                self.parents.append(i)
+            elif entry.zone == self.site.zone:
+                self.caches.append(i)
+        came_back = self.states[i] == "gone" and entry.state == "up"
+        restarted = entry.started_us != self.started[i]
+        if entry.state == "up" and (came_back or restarted):
+            self.life[i] += 1
+            self.silent_until[i] = self.silences[i] = 0
+            since = entry.started_us if entry.started_us > 0 else (now if self.listed_once else -1)
+            long = self.rules.parent_cold_us if entry.kind == self.site.parent_kind else self.rules.cold_us
+            self.cold_since[i] = since if since >= 0 and now - since < long else -1
+        self.zones[i], self.cells[i], self.started[i] = entry.zone, entry.cell, entry.started_us
+        self.units[i], self.states[i] = entry.units, entry.state
+        if self.site.links_told and entry.units > 0:
+            self.room[i] = 2.0 + 2.0 * entry.units / max(1, self.site.dispatchers_here)
+
+    def visit_came(self, now: int, id: str, track: str, thing: str, part: int, group: int, kb: float,
+                   until: int) -> None:
+        row = self.tracks[track]
+        visit = Visit(id, row, thing, part, group, now, until)
+        tariff = row.tariff
+        if kb > 0 and self.site.stream_kb_s > 0:
+            visit.known_us = kb / self.site.stream_kb_s * 1e6
+            row.saw(visit.known_us)
+        # The last moment for a shot that can still meet the goal time; an unknown size counts as small.
+        guess = row.send_us if tariff.goal_stretch < 1 and not tariff.uncached else 0.0
+        send = visit.known_us or guess
+        goal = min(tariff.goal_us + tariff.goal_stretch * send, tariff.outer_us)
+        visit.latest = min(now + int(goal - send) - 2 * self.site.tick_us, until - int(send) - 100_000)
+        self.ledger[id] = self.waiting[id] = visit
+        self.stirred = True
+
+    def shot_ended(self, now: int, id: str, number: int, result: int, closed: bool, took: int, waited: int,
+                   note: int, report: list[float]) -> None:
+        visit = self.ledger.get(id)
+        shot = visit.out.pop(number, None) if visit else None
+        if visit is None or shot is None:
+            return
+        self.stirred = True
+        self.out_at[shot.host].pop(shot, None)
+        if shot.source >= 0 and shot.source != shot.host:
+            self.out_at[shot.source].pop(shot, None)
+        if shot.fill:
+            self.fills_out -= 1
+        herd = visit.herd
+        if herd is not None and herd.leader is shot:
+            herd.leader = None
+        self._learn(now, visit, shot, result, took, waited, note)
+        if closed:
+            visit.over = True
+        if visit.over:
+            self._drop(visit)
+            return
+        if result not in NEVER_RAN and visit.ran_at < 0:
+            visit.ran_at, visit.ran_host = shot.sent, shot.host
+        if result == Result.MISS:
+            visit.missed = shot.host
+        elif result != Result.NEVER_SENT:
+            visit.failed_at.append(shot.host)
+            if result in (Result.FULL, Result.NO_CONNECTION):
+                # What turned us away is crowded: come back a little later each time, spread by chance.
+                visit.not_before = now + int(20_000 * 2 ** min(visit.shots, 4) * (0.5 + self.chance()))
+        if not visit.out:
+            self.waiting[id] = visit
+
+    def _learn(self, now: int, visit: Visit, shot: Shot, result: int, took: int, waited: int,
+               note: int) -> None:
+        host, source, track = shot.host, shot.source, visit.track
+        if result in SPOKE:
+            self.heard[host] = now
+            self.silences[host] = 0
+        if shot.source >= 0 and note in (Note.FILLED, Note.FROM_ORIGIN, Note.SOURCE_REFUSED):
+            self.heard[source] = now
+            self.silences[source] = 0
+        if result != Result.SUCCEEDED or track.tariff.uncached:
+            return
+        herd = visit.herd
+        if herd is not None:
+            if note in (Note.FILLED, Note.FROM_ORIGIN, Note.JOINED) or herd.host != host or not herd.born:
+                fresh = track.tariff.fresh_us
+                herd.born = shot.sent if note != Note.HIT else now - fresh // 2
+            herd.host, herd.life, herd.seen = host, self.life[host], now
+        if note == Note.HIT:
+            if not visit.known_us:
+                track.saw(took)
+            elif not self.site.links_told:
+                slowed = took / max(1.0, visit.known_us + 5_000)
+                if slowed > 2:
+                    self.room[host] = max(3.0, self.room[host] * 0.97)
+                elif slowed < 1.4 and len(self.out_at[host]) >= self.room[host] - 2:
+                    self.room[host] += 0.3
+        elif note in (Note.FILLED, Note.FROM_ORIGIN) and source in self.parents:
+            wait = float(waited if waited >= 0 else took)
+            if not self.usual[source]:
+                self.usual[source] = self.lately[source] = wait
+            self.usual[source] += (wait - self.usual[source]) * 0.02
+            self.lately[source] += (wait - self.lately[source]) * 0.2
+
+    def stream_began(self, now: int, id: str, number: int) -> None:
+        self.stirred = True
+
+    def client_left(self, now: int, id: str) -> None:
+        visit = self.ledger.get(id)
+        if visit is not None:
+            visit.over = True
+            self.waiting.pop(id, None)
+            self._drop(visit)
+            self.stirred = True
+
+    def purged(self, now: int, thing: str, group: int, age: int) -> None:
+        name = thing or group
+        self.floors[name] = max(self.floors.get(name, 0), now - age)
+        self.floors.move_to_end(name)
+
+    def probe_answered(self, now: int, host: str, good: bool, took: int, report: list[float]) -> None:
+        self.stirred = True
+
+    def timer_due(self, now: int, token: int) -> None:
+        self.stirred = True
+        if token == self.token:
+            self.wake_at = 0
+
+    # Answers.
+
+    def next_decision(self, now: int) -> Decision | None:
+        if self.stirred:
+            self.stirred = False
+            self._settle(now)
+        return self.outbox.popleft() if self.outbox else None
+
+    def _settle(self, now: int) -> None:
+        rules = self.rules
+        if rules.must_follow and self.asked_at < 0:
+            self.asked_at = now
+            self.outbox.append(Decision("follow"))
+        horizon = now - 2 * rules.purge_takes_us - 1_000_000
+        while self.floors and next(iter(self.floors.values())) < horizon:
+            self.floors.popitem(last=False)
+        self._find_silent(now)
+        if self.waiting:
+            # Most earnings for the sending time first: under a crowded link that is what serves most.
+            for visit in sorted(self.waiting.values(), key=lambda v: v.send_us() / v.track.tariff.earnings):
+                self._place(now, visit)
+        wait = 20_000 if self.waiting else 100_000  # held visits wait 20 ms too long at most
+        if self.ledger and (not self.wake_at or self.wake_at > now + wait):
+            self.wake_at, self.token = now + wait, self.token + 1
+            self.outbox.append(Decision("wake", token=self.token, wait_us=wait))
+
+    def _drop(self, visit: Visit) -> None:
+        if not visit.out:
+            self.ledger.pop(visit.id, None)
+
+    def _finish(self, visit: Visit) -> None:
+        """The final answer of a visit that is given up on, at once."""
+        tariff = visit.track.tariff
+        harmless = tariff.redo == REDOABLE or visit.ran_at < 0
+        if harmless or (tariff.redo != IRREVERSIBLE and tariff.redo_group == "all"):
+            longest = self.rules.max_return_us if self.rules.may_name_return else 0
+            wait = int(longest * (0.5 + self.chance() / 2))
+            self.outbox.append(Decision("turn_back", visit.id, wait_us=wait))
+        else:
+            self.outbox.append(Decision("write_off", visit.id))
+        visit.over = True
+        self.waiting.pop(visit.id, None)
+        self._drop(visit)
+
+    def _may_repeat(self, now: int, visit: Visit, host: int) -> bool:
+        """Rule two: whether this visit may be shot (again) at this host."""
+        tariff = visit.track.tariff
+        if visit.over or visit.out or visit.shots >= self.rules.max_shots:
+            return False
+        if visit.ran_at < 0 or tariff.redo == REDOABLE:
+            return True
+        if tariff.redo == IRREVERSIBLE or now + 50_000 > visit.ran_at + tariff.redo_window_us:
+            return False
+        first = visit.ran_host
+        if tariff.redo_group == "all":
+            return True
+        places = self.zones if tariff.redo_group == "zone" else self.cells
+        return places[first] == places[host]
+
+    def _place(self, now: int, visit: Visit) -> None:
+        """Shoots, holds or gives up on one waiting visit."""
+        if visit.over or visit.out:
+            self.waiting.pop(visit.id, None)
+            return
+        if now > visit.latest or visit.shots >= self.rules.max_shots:
+            self._finish(visit)
+            return
+        if now < visit.not_before:
+            return
+        if visit.track.tariff.uncached:
+            self._place_uncached(now, visit)
+            return
+        herd = visit.herd or self._join_herd(now, visit)
+        here = self._copy_at(now, visit, herd)
+        leader = herd.leader
+        if here < 0 and visit.marked and leader is not None and self._usable(now, leader.host):
+            if self.site.joins:
+                if self._gate(now, visit, leader.host, leader.source):
+                    self._shoot(now, visit, leader.host, leader.source, join=True)
+                    return
+            elif now < visit.latest - 40_000:
+                return
+        host = here if here >= 0 and self._has_room(now, here) else self._pick(now, visit)
+        if host < 0:
+            return
+        source = self._source(now, visit, host)
+        known = here == host
+        cold = self.cold_since[host] >= 0 or (source >= 0 and self.cold_since[source] >= 0)
+        if not known and visit.missed != host and not cold and self.fills_out * 2 >= self.fill_room:
+            if self._gate(now, visit, host, host):
+                self._shoot(now, visit, host, host, look=True)
+            return
+        if not known and self.fills_out >= self.fill_room:
+            return
+        if source < 0 or not self._gate(now, visit, host, source):
+            return
+        self._shoot(now, visit, host, source, fill=not known, join=self.site.joins)
+
+    def _place_uncached(self, now: int, visit: Visit) -> None:
+        if self.origin < 0 or self.states[self.origin] != "up":
+            self._finish(visit)
+            return
+        straight = self.rules.may_pass_by
+        host = self.origin if straight else self._pick(now, visit)
+        if host < 0:
+            return
+        if not self._may_repeat(now, visit, host):
+            self._finish(visit)
+        elif self._gate(now, visit, host, -1 if straight else self.origin):
+            self._shoot(now, visit, host, -1 if straight else self.origin)
+
+    def _join_herd(self, now: int, visit: Visit) -> Herd:
+        """The bucket of the fingerprint: a visit that finds it empty marks a herd."""
+        herd = self.herds.get(visit.print)
+        if herd is None:
+            herd = self.herds[visit.print] = Herd(now)
+            if len(self.herds) > 20_000:  # some minutes of fingerprints; beyond that the oldest teach nothing
+                self.herds.popitem(last=False)
+        # One visit, refilled at 8 a second as the design starts; no refill while a fill is out, so that a second
+        # visit during a fill of any length finds the bucket empty. Harms nothing: without a leader nobody waits.
+        if herd.leader is None:
+            herd.tokens = min(1.0, herd.tokens + (now - herd.stamp) * 8e-6)
+        herd.stamp = now
+        visit.marked = herd.tokens < 1
+        if not visit.marked:
+            herd.tokens -= 1
+        visit.herd = herd
+        return herd
+
+    def _copy_at(self, now: int, visit: Visit, herd: Herd) -> int:
+        """The cooldown: where a copy that will do was seen so lately that it should still be there."""
+        host = herd.host
+        if host < 0 or self.life[host] != herd.life or now - herd.seen > 8_000_000 or visit.missed == host:
+            return -1
+        fresh = visit.track.tariff.fresh_us
+        stale = (fresh and now - herd.born >= fresh) or herd.born <= self._floor(visit)
+        return -1 if stale or not self._usable(now, host) else host
+
+    def _floor(self, visit: Visit) -> int:
+        return max(self.floors.get(visit.thing, 0), self.floors.get(visit.group, 0))
+
+    def _usable(self, now: int, host: int) -> bool:
+        return self.states[host] == "up" and (now >= self.silent_until[host])
+
+    def _has_room(self, now: int, host: int) -> bool:
+        if not self._usable(now, host):
+            return False
+        out = len(self.out_at[host])
+        return out < (1 if self.silences[host] else self.room[host])
+
+    def _rank(self, hosts: list[int], key: int) -> list[int]:
+        """Weighted rendezvous: an order that stays put for the rest when a host comes or goes."""
+        weighted = self.site.links_told
+        scored = []
+        for i in hosts:
+            x = (key ^ self.salts[i]) * 0x9E3779B97F4A7C15 & 0xFFFFFFFFFFFFFFFF
+            x = ((x ^ x >> 29) * 0xBF58476D1CE4E5B9 & 0xFFFFFFFFFFFFFFFF)
+            x ^= x >> 32
+            weight = self.units[i] if weighted and self.units[i] > 0 else 1.0
+            scored.append((-log((x + 1) / 2**64) / weight, i))
+        scored.sort()
+        return [i for _, i in scored]
+
+    def _pick(self, now: int, visit: Visit) -> int:
+        key = _mix(f"{visit.thing}/{visit.part}")
+        order = [i for i in self._rank(self.caches, key) if self._usable(now, i)]
+        open_now = [i for i in order if self._has_room(now, i) and self._budget(now, i, visit.track.send_us)]
+        for i in open_now:
+            if i not in visit.failed_at:
+                return i
+        if open_now:
+            return open_now[0]
+        if not order and not any(self.states[i] == "up" for i in self.caches):
+            self._finish(visit)
+        return -1
+
+    def _source(self, now: int, visit: Visit, host: int) -> int:
+        """The first parent by a hash over all listed, the second where the first may not or runs slow."""
+        order = self._rank([i for i in self.parents if self.states[i] != "gone"], _mix(visit.thing))[:2]
+        good = [i for i in order if self._usable(now, i) and self._budget(now, i, visit.track.send_us)
+                and (not self.silences[i] or not self.out_at[i])]
+        if len(good) == 2:
+            first, second = good
+            slow = self.lately[first] > 3 * self.usual[first] + 50_000
+            if slow and self.lately[second] * 2 < self.lately[first]:
+                return second
+        if good:
+            return good[0]
+        if self.origin >= 0 and self.states[self.origin] == "up":
+            return self.origin
+        return host
+
+    def _budget(self, now: int, host: int, send_us: float) -> bool:
+        """Rule four: what a cold host may be sent from here within any window of the stated length."""
+        since = self.cold_since[host]
+        if since < 0:
+            return True
+        rules, parent = self.rules, host in self.parents
+        long = rules.parent_cold_us if parent else rules.cold_us
+        if now - since >= long:
+            self.cold_since[host] = -1
+            self.spent[host].clear()
+            return True
+        least = rules.parent_cold_from if parent else rules.cold_from
+        share = self.site.dispatchers if parent else max(1, self.site.dispatchers_here)
+        window = self.spent[host]
+        while window and window[0][0] <= now - rules.tip_us:
+            window.popleft()
+        can = least + (1 - least) * max(0, now - rules.tip_us - since) / long
+        multiple = rules.parent_tip_multiple if parent else rules.tip_multiple
+        budget = 0.7 * multiple * self._link(host) * can * rules.tip_us / share
+        return sum(work for _, work in window) + send_us <= budget
+
+    def _link(self, host: int) -> float:
+        """A host's link in transfers: as told, else its least, a part of what the location's link carries."""
+        if self.site.links_told:
+            return self.units[host]
+        if self.site.link_kb_s > 0 and self.site.stream_kb_s > 0:
+            link = self.site.link_kb_s / self.site.stream_kb_s
+            return link if host in self.parents else link / max(1, len(self.caches))
+        return 1.0
+
+    def _gate(self, now: int, visit: Visit, host: int, source: int) -> bool:
+        """What every shot must pass: drains, cold budgets and the limits on shots."""
+        send = visit.track.send_us
+        for i in (host, source) if source >= 0 and source != host else (host,):
+            if self.states[i] != "up" or not self._budget(now, i, send):
+                return False
+        return self._may_repeat(now, visit, host)
+
+    def _shoot(self, now: int, visit: Visit, host: int, source: int, fill: bool = False, look: bool = False,
+               join: bool = False) -> None:
+        shot = Shot(visit, visit.shots, host, source, now, fill, look)
+        visit.out[visit.shots] = shot
+        visit.shots += 1
+        self.waiting.pop(visit.id, None)
+        self.out_at[host][shot] = None
+        if source >= 0 and source != host:
+            self.out_at[source][shot] = None
+        for i in (host, source) if source >= 0 and source != host else (host,):
+            if self.cold_since[i] >= 0:
+                self.spent[i].append((now, visit.track.send_us))
+        if fill:
+            self.fills_out += 1
+            if visit.herd is not None and visit.herd.leader is None:
+                visit.herd.leader = shot
+        floor, tariff, oldest = self._floor(visit), visit.track.tariff, 0
+        if floor:
+            # Rule five: an age of 0 would mean the usual one, so the youngest that can be asked is 1.
+            oldest = max(1, min(now - floor, tariff.fresh_us or now - floor))
+        self.outbox.append(Decision(
+            "shoot", visit.id, self.names[host], self.names[source] if source >= 0 else "",
+            within_us=max(1, visit.outer - now), keep=2, oldest_us=oldest, join=join, shot=shot.number))
+
+    def _find_silent(self, now: int) -> None:
+        """A host that takes shots and ends none, while later ones go overdue too, rests for a while."""
+        for host, shots in enumerate(self.out_at):
+            if not shots or host == self.origin:
+                continue
+            overdue = [s for s in self._overdue(now, shots) if s.sent > self.heard[host]]
+            if len(overdue) < 2 or now < self.silent_until[host]:
+                continue
+            self.silences[host] = min(self.silences[host] + 1, 4)
+            self.silent_until[host] = now + 500_000 * 2 ** self.silences[host]
+            if not self.rules.may_withdraw:
+                continue
+            for shot in list(shots):
+                if not shot.withdrawn and shot.visit.track.tariff.redo == REDOABLE and not shot.visit.over:
+                    shot.withdrawn = True
+                    self.outbox.append(Decision("withdraw", shot.visit.id, shot=shot.number))
+
+    def _overdue(self, now: int, shots: dict[Shot, None]) -> Iterator[Shot]:
+        for shot in shots:
+            if now - shot.sent < 700_000:
+                return
+            if now - shot.sent > 700_000 + 2 * shot.visit.send_us():
+                yield shot
--- /dev/null
+++ b/hoistplank/interface.py
@@ -0,0 +1,128 @@
+"""Types that pass between a host program and the router: what is read at start, host entries, answers."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import NamedTuple
+
+REDOABLE, LABELLED, IRREVERSIBLE = "redoable", "labelled", "irreversible"
+
+
+class Result:
+    """How a shot ended."""
+
+    SUCCEEDED, ERROR, FULL, LATE, NO_CONNECTION, BROKEN, WITHDRAWN, NEVER_SENT, MISS = range(9)
+
+
+class Note:
+    """What an answer says of its copy; 0 says nothing."""
+
+    (
+        HIT,
+        FILLED,
+        FROM_ORIGIN,
+        JOINED,
+        OLD,
+        SOURCE_REFUSED,
+        SOURCE_LOST,
+        SOURCE_LACKS,
+        NO_PLACE,
+        ORIGIN_LOST,
+    ) = range(1, 11)
+
+
+@dataclass(frozen=True, slots=True)
+class Tariff:
+    """The figures of one track."""
+
+    name: str
+    goal_us: int
+    goal_stretch: float
+    outer_us: int
+    earnings: float
+    late_share: float
+    redo: str
+    redo_group: str
+    redo_window_us: int
+    fresh_us: int
+    grace_us: int
+    old_share: float
+    uncached: bool
+    streamed: bool
+
+
+@dataclass(frozen=True, slots=True)
+class HouseRules:
+    """The figures of the rules, and what the site allows."""
+
+    drain_us: int
+    cold_from: float
+    cold_us: int
+    tip_us: int
+    tip_multiple: float
+    parent_cold_from: float
+    parent_cold_us: int
+    parent_tip_multiple: float
+    purge_takes_us: int
+    slack_us: int
+    max_shots: int
+    may_pair: bool
+    may_withdraw: bool
+    may_probe: bool
+    may_pass_by: bool
+    may_name_return: bool
+    max_return_us: int
+    must_follow: bool
+    ask_every_us: int
+
+
+@dataclass(frozen=True, slots=True)
+class Site:
+    """What a dispatcher is told of its place when it starts."""
+
+    rules: HouseRules
+    tariffs: tuple[Tariff, ...]
+    zone: str
+    dispatchers: int
+    dispatchers_here: int
+    link_kb_s: float
+    stream_kb_s: float
+    links_told: bool
+    joins: bool
+    notes_all: bool
+    sources_beside: str
+    parent_kind: str
+    origin_kind: str
+    report_fields: tuple[str, ...]
+    reports_in_answers: bool
+    tick_us: int
+
+
+class HostEntry(NamedTuple):
+    """One line of the cache host list; state is up, draining or gone."""
+
+    host: str
+    zone: str
+    kind: str
+    cell: int
+    units: float
+    started_us: int
+    state: str
+
+
+@dataclass(slots=True)
+class Decision:
+    """One thing to do: shoot, turn_back, write_off, withdraw, wake, follow, probe."""
+
+    act: str
+    visit: str = ""
+    host: str = ""
+    source: str = ""
+    within_us: int = 0
+    keep: int = 0
+    oldest_us: int = 0
+    join: bool = False
+    renew: bool = False
+    shot: int = 0
+    wait_us: int = 0
+    token: int = 0
