--- a/hoistplank/choice.py
+++ b/hoistplank/choice.py
@@ -397,8 +397,8 @@
             herd = self.herds[visit.print] = Herd(now)
             if len(self.herds) > 20_000:  # some minutes of fingerprints; beyond that the oldest teach nothing
                 self.herds.popitem(last=False)
-        # One visit, refilled at 8 a second as the design starts; no refill while a fill is out, so that a second
-        # visit during a fill of any length finds the bucket empty. Harms nothing: without a leader nobody waits.
+        # One visit, refilled at 8 a second as the design starts, but not while a fill is out: a second visit
+        # during a fill of any length finds the bucket empty. Harmless: without a leader nobody waits.
         if herd.leader is None:
             herd.tokens = min(1.0, herd.tokens + (now - herd.stamp) * 8e-6)
         herd.stamp = now
