Doubt hosts that lose connections and parents that caches can't reach

Cause: shots at restarted caches and fills by unreachable parents failed one after another; silence was only known from shots that never end. Conclusion: connection evidence covers restarts, vanished hosts, cut-off parents and falls. It may harm where a host only ran out of connections: that host then gets a cold host's budget for its warming time.

--- a/hoistplank/choice.py
+++ b/hoistplank/choice.py
@@ -12,6 +12,7 @@
 from collections.abc import Iterator
 from hashlib import blake2b
 from math import inf, log
+from operator import attrgetter
 from random import Random
 
 from hoistplank.interface import IRREVERSIBLE, REDOABLE, Decision, HostEntry, Note, Result, Site, Tariff
@@ -20,6 +21,8 @@
 NEVER_RAN = frozenset((Result.FULL, Result.NO_CONNECTION, Result.NEVER_SENT, Result.MISS))
 # Outcomes in which the cache host itself spoke, so that it is no silent one.
 SPOKE = frozenset((Result.SUCCEEDED, Result.ERROR, Result.FULL, Result.MISS))
+# Notes by which the source failed, not the cache host that tells of it.
+SOURCE_FAILED = frozenset((Note.SOURCE_REFUSED, Note.SOURCE_LOST, Note.SOURCE_LACKS, Note.ORIGIN_LOST))
 
 
 class Track:
@@ -47,8 +50,8 @@
     """One line of the visit ledger."""
 
     __slots__ = ("id", "track", "thing", "part", "group", "print", "known_us", "came", "latest", "outer",
-                 "out", "shots", "over", "ran_at", "ran_host", "missed", "not_before", "herd", "marked",
-                 "failed_at")
+                 "out", "shots", "over", "ran_at", "ran_host", "missed", "missed_at", "not_before", "herd",
+                 "marked", "failed_at", "weight", "orders", "listing")
 
     def __init__(self, id: str, track: Track, thing: str, part: int, group: int, came: int, outer: int):
         self.id, self.track, self.thing, self.part, self.group = id, track, thing, part, group
@@ -57,9 +60,11 @@
         self.came, self.outer, self.latest = came, outer, outer
         self.shots, self.over, self.ran_at, self.ran_host = 0, False, -1, -1
         self.out: dict[int, Shot] = {}
-        self.missed, self.not_before, self.marked = -1, 0, False
+        self.missed, self.missed_at, self.not_before, self.marked = -1, 0, 0, False
         self.herd: Herd | None = None
         self.failed_at: list[int] = []
+        self.weight, self.listing = 0.0, -1
+        self.orders: tuple[list[int], list[int]] = ([], [])
 
     def send_us(self) -> float:
         return self.known_us or self.track.send_us
@@ -100,13 +105,14 @@
         self.heard: list[int] = []
         self.silent_until: list[int] = []
         self.silences: list[int] = []
+        self.trust: list[float] = []
         self.room: list[float] = []
         self.usual: list[float] = []
         self.lately: list[float] = []
         self.caches: list[int] = []
         self.parents: list[int] = []
         self.origin = -1
-        self.listed_once = False
+        self.listed_once, self.listing, self.silence_check = False, 0, 0
         self.herds: OrderedDict[tuple[str, int, str], Herd] = OrderedDict()
         self.floors: OrderedDict[str | int, int] = OrderedDict()
         self.ledger: dict[str, Visit] = {}
@@ -137,6 +143,7 @@
                 if host not in named:
                     self.states[i] = "gone"
         self.listed_once = True
+        self.listing += 1
 
     def _list(self, now: int, entry: HostEntry) -> None:
         i = self.index.get(entry.host, -1)
@@ -148,7 +155,8 @@
             for row, first in ((self.cells, 0), (self.started, 0), (self.cold_since, -1), (self.life, 0),
                                (self.heard, now), (self.silent_until, 0), (self.silences, 0)):
                 row.append(first)
-            for ratio, start in ((self.units, 1.0), (self.room, 12.0), (self.usual, 0.0), (self.lately, 0.0)):
+            for ratio, start in ((self.units, 1.0), (self.room, 12.0), (self.usual, 0.0), (self.lately, 0.0),
+                                 (self.trust, inf)):
                 ratio.append(start)
             self.zones.append("")
             self.states.append("gone")
@@ -165,6 +173,7 @@
         if entry.state == "up" and (came_back or restarted):
             self.life[i] += 1
             self.silent_until[i] = self.silences[i] = 0
+            self.trust[i] = inf
             since = entry.started_us if entry.started_us > 0 else (now if self.listed_once else -1)
             long = self.rules.parent_cold_us if entry.kind == self.site.parent_kind else self.rules.cold_us
             self.cold_since[i] = since if since >= 0 and now - since < long else -1
@@ -186,6 +195,7 @@
         send = visit.known_us or guess
         goal = min(tariff.goal_us + tariff.goal_stretch * send, tariff.outer_us)
         visit.latest = min(now + int(goal - send) - 2 * self.site.tick_us, until - int(send) - 100_000)
+        visit.weight = visit.send_us() / max(0.001, tariff.earnings)
         self.ledger[id] = self.waiting[id] = visit
         self.stirred = True
 
@@ -213,8 +223,8 @@
         if result not in NEVER_RAN and visit.ran_at < 0:
             visit.ran_at, visit.ran_host = shot.sent, shot.host
         if result == Result.MISS:
-            visit.missed = shot.host
-        elif result != Result.NEVER_SENT:
+            visit.missed, visit.missed_at = shot.host, now
+        elif result != Result.NEVER_SENT and note not in SOURCE_FAILED:
             visit.failed_at.append(shot.host)
             if result in (Result.FULL, Result.NO_CONNECTION):
                 # What turned us away is crowded: come back a little later each time, spread by chance.
@@ -226,11 +236,21 @@
                note: int) -> None:
         host, source, track = shot.host, shot.source, visit.track
         if result in SPOKE:
-            self.heard[host] = now
-            self.silences[host] = 0
-        if shot.source >= 0 and note in (Note.FILLED, Note.FROM_ORIGIN, Note.SOURCE_REFUSED):
-            self.heard[source] = now
-            self.silences[source] = 0
+            self._heard(now, host)
+        elif result in (Result.NO_CONNECTION, Result.BROKEN):
+            # A lost connection tells of a process that went away, and that may be back any moment, cold and
+            # empty, before the list says so: deploys, crashes, vanished hosts. Where only its table of
+            # connections was full, the host gets less than it could for its cold time.
+            self._doubt(now, host)
+            self.life[host] += 1
+            if host not in self.parents and host != self.origin:
+                self.cold_since[host] = now
+        if source in self.parents and source != host:
+            if note == Note.SOURCE_LOST or (shot.fill and result == Result.FULL and not self.site.notes_all):
+                # Unreachable from where the cache stands: a dead or cut-off parent. The second takes over.
+                self._doubt(now, source)
+            elif note in (Note.FILLED, Note.FROM_ORIGIN, Note.SOURCE_REFUSED):
+                self._heard(now, source)
         if result != Result.SUCCEEDED or track.tariff.uncached:
             return
         herd = visit.herd
@@ -255,6 +275,20 @@
             self.usual[source] += (wait - self.usual[source]) * 0.02
             self.lately[source] += (wait - self.lately[source]) * 0.2
 
+    def _heard(self, now: int, host: int) -> None:
+        self.heard[host] = now
+        self.silences[host] = 0
+        # Back from doubt: half a shot more at a time, in case it came back cold; 16 are more than usual.
+        self.trust[host] = self.trust[host] + 0.5 if self.trust[host] < 16 else inf
+
+    def _doubt(self, now: int, host: int) -> None:
+        """A host that may be gone rests, longer each time, and is then felt out by one shot."""
+        if host == self.origin or now < self.silent_until[host]:
+            return
+        self.silences[host] = min(self.silences[host] + 1, 5)
+        self.silent_until[host] = now + 125_000 * 2 ** self.silences[host]  # 0.25 s, then doubling to 4 s
+        self.trust[host] = 1.0
+
     def stream_began(self, now: int, id: str, number: int) -> None:
         self.stirred = True
 
@@ -295,11 +329,16 @@
         horizon = now - 2 * rules.purge_takes_us - 1_000_000
         while self.floors and next(iter(self.floors.values())) < horizon:
             self.floors.popitem(last=False)
-        self._find_silent(now)
+        if now >= self.silence_check:
+            self.silence_check = now + 50_000  # a silence shows after 0.7 s, so this is fine enough
+            self._find_silent(now)
         if self.waiting:
             # Most earnings for the sending time first: under a crowded link that is what serves most.
-            for visit in sorted(self.waiting.values(), key=lambda v: v.send_us() / v.track.tariff.earnings):
-                self._place(now, visit)
+            for visit in sorted(self.waiting.values(), key=attrgetter("weight")):
+                herd = visit.herd
+                if (visit.missed < 0 or now > visit.latest or self.fills_out < self.fill_room or herd is None
+                        or herd.leader is not None or herd.seen > visit.missed_at):
+                    self._place(now, visit)
         wait = 20_000 if self.waiting else 100_000  # held visits wait 20 ms too long at most
         if self.ledger and (not self.wake_at or self.wake_at > now + wait):
             self.wake_at, self.token = now + wait, self.token + 1
@@ -427,7 +466,7 @@
         if not self._usable(now, host):
             return False
         out = len(self.out_at[host])
-        return out < (1 if self.silences[host] else self.room[host])
+        return out < min(self.trust[host], self.room[host])
 
     def _rank(self, hosts: list[int], key: int) -> list[int]:
         """Weighted rendezvous: an order that stays put for the rest when a host comes or goes."""
@@ -442,9 +481,17 @@
         scored.sort()
         return [i for _, i in scored]
 
+    def _orders(self, visit: Visit) -> tuple[list[int], list[int]]:
+        """Caches by object and part, parents by object alone; kept with the visit until the list changes."""
+        if visit.listing != self.listing:
+            visit.listing = self.listing
+            parents = [i for i in self.parents if self.states[i] != "gone"]
+            visit.orders = (self._rank(self.caches, _mix(f"{visit.thing}/{visit.part}")),
+                            self._rank(parents, _mix(visit.thing)))
+        return visit.orders
+
     def _pick(self, now: int, visit: Visit) -> int:
-        key = _mix(f"{visit.thing}/{visit.part}")
-        order = [i for i in self._rank(self.caches, key) if self._usable(now, i)]
+        order = [i for i in self._orders(visit)[0] if self._usable(now, i)]
         open_now = [i for i in order if self._has_room(now, i) and self._budget(now, i, visit.track.send_us)]
         for i in open_now:
             if i not in visit.failed_at:
@@ -457,9 +504,10 @@
 
     def _source(self, now: int, visit: Visit, host: int) -> int:
         """The first parent by a hash over all listed, the second where the first may not or runs slow."""
-        order = self._rank([i for i in self.parents if self.states[i] != "gone"], _mix(visit.thing))[:2]
-        good = [i for i in order if self._usable(now, i) and self._budget(now, i, visit.track.send_us)
-                and (not self.silences[i] or not self.out_at[i])]
+        send = visit.track.send_us
+        good = [i for i in self._orders(visit)[1]
+                if self._usable(now, i) and len(self.out_at[i]) < self.trust[i]
+                and self._budget(now, i, send)][:2]
         if len(good) == 2:
             first, second = good
             slow = self.lately[first] > 3 * self.usual[first] + 50_000
@@ -541,8 +589,7 @@
             overdue = [s for s in self._overdue(now, shots) if s.sent > self.heard[host]]
             if len(overdue) < 2 or now < self.silent_until[host]:
                 continue
-            self.silences[host] = min(self.silences[host] + 1, 4)
-            self.silent_until[host] = now + 500_000 * 2 ** self.silences[host]
+            self._doubt(now, host)
             if not self.rules.may_withdraw:
                 continue
             for shot in list(shots):
