Rank held fills by the earnings that come in time, not by size alone

Change: a row of the track table keeps how long fills wait and what share comes in time; held fills are ranked by earnings in time over time, and a late track gets its in-time share of the room and one fill more.

--- a/hoistplank/choice.py
+++ b/hoistplank/choice.py
@@ -26,13 +26,19 @@
 
 
 class Track:
-    """A row of the track table: the tariff, and the mean sending time as seen so far."""
+    """A row of the track table: the tariff, the mean sending time, and how fills of the track fare lately."""
 
-    __slots__ = ("tariff", "send_us")
+    __slots__ = ("tariff", "send_us", "wait_us", "in_time", "fills_out")
 
     def __init__(self, tariff: Tariff) -> None:
         self.tariff = tariff
-        self.send_us = float(tariff.goal_us)  # until some are seen: goals lie above the usual sending time
+        self.wait_us, self.in_time, self.fills_out = 0.0, 1.0, 0
+        self.send_us = float(tariff.goal_us)  # till some are seen: goals lie above it
+
+    def filled(self, took: int, send_us: float, in_time: bool) -> None:
+        # 1 in 12: about a second's fills of a busy track, so that a slow origin shows, and its end shows, in time.
+        self.wait_us += (max(0.0, took - send_us) - self.wait_us) * 0.08
+        self.in_time += (in_time - self.in_time) * 0.08
 
     def saw(self, send_us: float) -> None:
         self.send_us += (send_us - self.send_us) * 0.02  # 1 in 50: sizes vary widely, their mean hardly moves
@@ -195,7 +201,6 @@
         send = visit.known_us or guess
         goal = min(tariff.goal_us + tariff.goal_stretch * send, tariff.outer_us)
         visit.latest = min(now + int(goal - send) - 2 * self.site.tick_us, until - int(send) - 100_000)
-        visit.weight = visit.send_us() / max(0.001, tariff.earnings)
         self.ledger[id] = self.waiting[id] = visit
         self.stirred = True
 
@@ -211,6 +216,11 @@
             self.out_at[shot.source].pop(shot, None)
         if shot.fill:
             self.fills_out -= 1
+            visit.track.fills_out -= 1
+            if note != Note.HIT and result in (Result.SUCCEEDED, Result.LATE, Result.WITHDRAWN):
+                tariff, send = visit.track.tariff, visit.send_us()
+                goal = min(tariff.goal_us + tariff.goal_stretch * send, tariff.outer_us)
+                visit.track.filled(took, send, result == Result.SUCCEEDED and took <= goal)
         herd = visit.herd
         if herd is not None and herd.leader is shot:
             herd.leader = None
@@ -333,7 +343,12 @@
             self.silence_check = now + 50_000  # a silence shows after 0.7 s, so this is fine enough
             self._find_silent(now)
         if self.waiting:
-            # Most earnings for the sending time first: under a crowded link that is what serves most.
+            # Most earnings for the time first: what serves most under a crowded link. Where the source is
+            # slow, a track whose fills miss their goal yields to one whose goal leaves room for the wait.
+            for visit in self.waiting.values():
+                row = visit.track
+                earns = max(0.001, row.tariff.earnings) * (row.in_time + 0.02)
+                visit.weight = (visit.send_us() + row.wait_us) / earns
             for visit in sorted(self.waiting.values(), key=attrgetter("weight")):
                 herd = visit.herd
                 if (visit.missed < 0 or now > visit.latest or self.fills_out < self.fill_room or herd is None
@@ -410,7 +425,11 @@
             if self._gate(now, visit, host, host):
                 self._shoot(now, visit, host, host, look=True)
             return
-        if not known and self.fills_out >= self.fill_room:
+        # Fills that come too late hold their room for little: they get the share of it that comes in time,
+        # and one more to find out when that changes.
+        track = visit.track
+        if not known and (self.fills_out >= self.fill_room
+                          or (track.in_time < 0.5 and track.fills_out >= 1 + self.fill_room * track.in_time)):
             return
         if source < 0 or not self._gate(now, visit, host, source):
             return
@@ -571,6 +590,7 @@
                 self.spent[i].append((now, visit.track.send_us))
         if fill:
             self.fills_out += 1
+            visit.track.fills_out += 1
             if visit.herd is not None and visit.herd.leader is None:
                 visit.herd.leader = shot
         floor, tariff, oldest = self._floor(visit), visit.track.tariff, 0
