--- a/hoistplank/choice.py
+++ b/hoistplank/choice.py
@@ -129,9 +129,9 @@
         self.wake_at, self.token = 0, 0
         self.asked_at = -1
         # Fills that fill the location's link at a client's pace, a third more to keep it busy between them.
-        self.fill_room = inf
+        self.fill_room = self.least_room = inf
         if site.link_kb_s > 0 and site.stream_kb_s > 0:
-            self.fill_room = max(2.0, 1.3 * site.link_kb_s / site.stream_kb_s / max(1, site.dispatchers_here))
+            self.fill_room = self.least_room = max(2.0, 1.3 * site.link_kb_s / site.stream_kb_s / max(1, site.dispatchers_here))
 
     # Inputs: they only update what is known.
 
@@ -220,7 +220,12 @@
             if note != Note.HIT and result in (Result.SUCCEEDED, Result.LATE, Result.WITHDRAWN):
                 tariff, send = visit.track.tariff, visit.send_us()
                 goal = min(tariff.goal_us + tariff.goal_stretch * send, tariff.outer_us)
-                visit.track.filled(took, send, result == Result.SUCCEEDED and took <= goal)
+                in_time = result == Result.SUCCEEDED and took <= goal
+                visit.track.filled(took, send, in_time)
+                if in_time and self.fills_out >= self.fill_room - 2:
+                    self.fill_room = min(3 * self.least_room, self.fill_room + 0.2)
+                elif not in_time:
+                    self.fill_room = max(self.least_room, self.fill_room * 0.97)
         herd = visit.herd
         if herd is not None and herd.leader is shot:
             herd.leader = None
