Shrink the room for fills while they come late

Cause: under a slow, crowded origin each fill takes longer the more are out. Change: a late fill takes a twentieth off the room, one in time gives a third of a fill back, between 0.3 and 1 of the full room.

--- a/hoistplank/choice.py
+++ b/hoistplank/choice.py
@@ -130,9 +130,10 @@
         self.asked_at = -1
         # Fills that fill the location's link at a client's pace, half as many more to keep it busy between
         # them: measured on charge-portal, 1.0 loses 0.05 and 1.3 to 1.7 are alike.
-        self.fill_room = inf
+        self.fill_room = self.full_room = inf
         if site.link_kb_s > 0 and site.stream_kb_s > 0:
-            self.fill_room = max(2.0, 1.5 * site.link_kb_s / site.stream_kb_s / max(1, site.dispatchers_here))
+            share = site.link_kb_s / site.stream_kb_s / max(1, site.dispatchers_here)
+            self.fill_room = self.full_room = max(2.0, 1.5 * share)
 
     # Inputs: they only update what is known.
 
@@ -221,7 +222,13 @@
             if note != Note.HIT and result in (Result.SUCCEEDED, Result.LATE, Result.WITHDRAWN):
                 tariff, send = visit.track.tariff, visit.send_us()
                 goal = min(tariff.goal_us + tariff.goal_stretch * send, tariff.outer_us)
-                visit.track.filled(took, send, result == Result.SUCCEEDED and took <= goal)
+                in_time = result == Result.SUCCEEDED and took <= goal
+                visit.track.filled(took, send, in_time)
+                # A crowded origin takes longer for each fill, the more are out: fewer come sooner.
+                if in_time:
+                    self.fill_room = min(self.full_room, self.fill_room + 0.3)
+                elif self.fills_out >= self.fill_room - 2:
+                    self.fill_room = max(0.3 * self.full_room, self.fill_room * 0.95)
         herd = visit.herd
         if herd is not None and herd.leader is shot:
             herd.leader = None
