Take old copies where fills rarely come in time, and before turning back

Cause: with a slow origin, pages that may be served past their fresh time were turned back though old copies lay in the caches. Change: where a track's fills come in time more seldom than an old copy earns, the look asks for old copies too; elsewhere that is the last thing tried before a visit is turned back. Purge floors hold for it. It covers slow origins, lost sources and full links; it harms where clients mind old copies more than the settings say.

--- a/hoistplank/choice.py
+++ b/hoistplank/choice.py
@@ -9,7 +9,6 @@
 from __future__ import annotations
 
 from collections import OrderedDict, deque
-from collections.abc import Iterator
 from hashlib import blake2b
 from math import inf, log
 from operator import attrgetter
@@ -45,36 +44,39 @@
 
 
 class Shot:
-    __slots__ = ("visit", "number", "host", "source", "sent", "fill", "look", "withdrawn")
+    __slots__ = ("visit", "number", "host", "source", "sent", "fill", "fixed")
 
-    def __init__(self, visit: Visit, number: int, host: int, source: int, sent: int, fill: bool, look: bool):
-        self.visit, self.number, self.host, self.source = visit, number, host, source
-        self.sent, self.fill, self.look, self.withdrawn = sent, fill, look, False
+    def __init__(self, visit: Visit, number: int, host: int, source: int, sent: int, fill: bool):
+        self.visit, self.number, self.host, self.source, self.sent = visit, number, host, source, sent
+        self.fill, self.fixed = fill, False  # fixed: withdrawn already, or streaming to its client
 
 
 class Visit:
     """One line of the visit ledger."""
 
-    __slots__ = ("id", "track", "thing", "part", "group", "print", "known_us", "came", "latest", "outer",
-                 "out", "shots", "over", "ran_at", "ran_host", "missed", "missed_at", "not_before", "herd",
-                 "marked", "failed_at", "weight", "orders", "listing")
+    __slots__ = ("id", "track", "thing", "part", "group", "print", "known_us", "latest", "outer", "out",
+                 "shots", "over", "ran_at", "ran_host", "missed", "missed_at", "not_before", "herd",
+                 "marked", "failed_at", "weight", "orders", "listing", "old")
 
-    def __init__(self, id: str, track: Track, thing: str, part: int, group: int, came: int, outer: int):
+    def __init__(self, id: str, track: Track, thing: str, part: int, group: int, outer: int):
         self.id, self.track, self.thing, self.part, self.group = id, track, thing, part, group
         self.print = (thing, part, track.tariff.name)
-        self.known_us = 0.0
-        self.came, self.outer, self.latest = came, outer, outer
+        self.known_us, self.outer, self.latest = 0.0, outer, outer
         self.shots, self.over, self.ran_at, self.ran_host = 0, False, -1, -1
         self.out: dict[int, Shot] = {}
         self.missed, self.missed_at, self.not_before, self.marked = -1, 0, 0, False
         self.herd: Herd | None = None
         self.failed_at: list[int] = []
-        self.weight, self.listing = 0.0, -1
+        self.weight, self.listing, self.old = 0.0, -1, False
         self.orders: tuple[list[int], list[int]] = ([], [])
 
     def send_us(self) -> float:
         return self.known_us or self.track.send_us
 
+    def goal_us(self, send_us: float) -> float:
+        tariff = self.track.tariff
+        return min(tariff.goal_us + tariff.goal_stretch * send_us, tariff.outer_us)
+
 
 class Herd:
     """What is known of one fingerprint: its bucket, its leader, and where a copy was last seen."""
@@ -97,37 +99,22 @@
         self.tracks = {tariff.name: Track(tariff) for tariff in site.tariffs}
         # Cache hosts: parallel arrays under a dense index that a host keeps for good.
         self.index: dict[str, int] = {}
-        self.names: list[str] = []
-        self.salts: list[int] = []
-        self.zones: list[str] = []
-        self.cells: list[int] = []
-        self.units: list[float] = []
-        self.states: list[str] = []
-        self.started: list[int] = []
+        self.names, self.zones, self.states = (list[str]() for _ in range(3))
+        self.salts, self.cells, self.started, self.life = (list[int]() for _ in range(4))
+        self.heard, self.silent_until, self.silences = (list[int]() for _ in range(3))
         self.cold_since: list[int] = []  # -1: warm
-        self.life: list[int] = []
+        self.units, self.room, self.trust, self.usual, self.lately = (list[float]() for _ in range(5))
         self.spent: list[deque[tuple[int, float]]] = []
         self.out_at: list[dict[Shot, None]] = []
-        self.heard: list[int] = []
-        self.silent_until: list[int] = []
-        self.silences: list[int] = []
-        self.trust: list[float] = []
-        self.room: list[float] = []
-        self.usual: list[float] = []
-        self.lately: list[float] = []
-        self.caches: list[int] = []
-        self.parents: list[int] = []
-        self.origin = -1
+        self.caches, self.parents, self.origin = list[int](), list[int](), -1
         self.listed_once, self.listing, self.silence_check = False, 0, 0
         self.herds: OrderedDict[tuple[str, int, str], Herd] = OrderedDict()
         self.floors: OrderedDict[str | int, int] = OrderedDict()
         self.ledger: dict[str, Visit] = {}
         self.waiting: dict[str, Visit] = {}
-        self.fills_out = 0
         self.outbox: deque[Decision] = deque()
-        self.stirred = False
-        self.wake_at, self.token = 0, 0
-        self.asked_at = -1
+        self.stirred, self.asking = False, False
+        self.fills_out, self.wake_at, self.token = 0, 0, 0
         # Fills that fill the location's link at a client's pace, half as many more to keep it busy between
         # them: measured on charge-portal, 1.0 loses 0.05 and 1.3 to 1.7 are alike.
         self.fill_room = self.full_room = inf
@@ -140,7 +127,7 @@
     def hosts_listed(self, now: int, form: str, entries: list[HostEntry]) -> None:
         self.stirred = True
         if form == "failed":
-            self.asked_at = -1
+            self.asking = False
             return
         named = set()
         for entry in entries:
@@ -155,8 +142,7 @@
 
     def _list(self, now: int, entry: HostEntry) -> None:
         i = self.index.get(entry.host, -1)
-        fresh = i < 0
-        if fresh:
+        if i < 0:
             i = self.index[entry.host] = len(self.names)
             self.names.append(entry.host)
             self.salts.append(_mix(entry.host))
@@ -180,8 +166,7 @@
         restarted = entry.started_us != self.started[i]
         if entry.state == "up" and (came_back or restarted):
             self.life[i] += 1
-            self.silent_until[i] = self.silences[i] = 0
-            self.trust[i] = inf
+            self.silent_until[i], self.silences[i], self.trust[i] = 0, 0, inf
             since = entry.started_us if entry.started_us > 0 else (now if self.listed_once else -1)
             long = self.rules.parent_cold_us if entry.kind == self.site.parent_kind else self.rules.cold_us
             self.cold_since[i] = since if since >= 0 and now - since < long else -1
@@ -193,7 +178,7 @@
     def visit_came(self, now: int, id: str, track: str, thing: str, part: int, group: int, kb: float,
                    until: int) -> None:
         row = self.tracks[track]
-        visit = Visit(id, row, thing, part, group, now, until)
+        visit = Visit(id, row, thing, part, group, until)
         tariff = row.tariff
         if kb > 0 and self.site.stream_kb_s > 0:
             visit.known_us = kb / self.site.stream_kb_s * 1e6
@@ -201,8 +186,8 @@
         # The last moment for a shot that can still meet the goal time; an unknown size counts as small.
         guess = row.send_us if tariff.goal_stretch < 1 and not tariff.uncached else 0.0
         send = visit.known_us or guess
-        goal = min(tariff.goal_us + tariff.goal_stretch * send, tariff.outer_us)
-        visit.latest = min(now + int(goal - send) - 2 * self.site.tick_us, until - int(send) - 100_000)
+        goal = now + int(visit.goal_us(send)) - 2 * self.site.tick_us
+        visit.latest = min(goal, until - 100_000) - int(send)
         self.ledger[id] = self.waiting[id] = visit
         self.stirred = True
 
@@ -220,10 +205,8 @@
             self.fills_out -= 1
             visit.track.fills_out -= 1
             if note != Note.HIT and result in (Result.SUCCEEDED, Result.LATE, Result.WITHDRAWN):
-                tariff, send = visit.track.tariff, visit.send_us()
-                goal = min(tariff.goal_us + tariff.goal_stretch * send, tariff.outer_us)
-                in_time = result == Result.SUCCEEDED and took <= goal
-                visit.track.filled(took, send, in_time)
+                in_time = result == Result.SUCCEEDED and took <= visit.goal_us(visit.send_us())
+                visit.track.filled(took, visit.send_us(), in_time)
                 # A crowded origin takes longer for each fill, the more are out: fewer come sooner.
                 if in_time:
                     self.fill_room = min(self.full_room, self.fill_room + 0.3)
@@ -233,8 +216,7 @@
         if herd is not None and herd.leader is shot:
             herd.leader = None
         self._learn(now, visit, shot, result, took, waited, note)
-        if closed:
-            visit.over = True
+        visit.over = visit.over or closed
         if visit.over:
             self._drop(visit)
             return
@@ -269,7 +251,7 @@
                 self._doubt(now, source)
             elif note in (Note.FILLED, Note.FROM_ORIGIN, Note.SOURCE_REFUSED):
                 self._heard(now, source)
-        if result != Result.SUCCEEDED or track.tariff.uncached:
+        if result != Result.SUCCEEDED or track.tariff.uncached or note == Note.OLD:
             return
         herd = visit.herd
         if herd is not None:
@@ -308,7 +290,8 @@
         self.trust[host] = 1.0
 
     def stream_began(self, now: int, id: str, number: int) -> None:
-        self.stirred = True
+        if id in self.ledger and number in self.ledger[id].out:
+            self.ledger[id].out[number].fixed = True
 
     def client_left(self, now: int, id: str) -> None:
         visit = self.ledger.get(id)
@@ -341,8 +324,8 @@
 
     def _settle(self, now: int) -> None:
         rules = self.rules
-        if rules.must_follow and self.asked_at < 0:
-            self.asked_at = now
+        if rules.must_follow and not self.asking:
+            self.asking = True
             self.outbox.append(Decision("follow"))
         horizon = now - 2 * rules.purge_takes_us - 1_000_000
         while self.floors and next(iter(self.floors.values())) < horizon:
@@ -405,7 +388,16 @@
         if visit.over or visit.out:
             self.waiting.pop(visit.id, None)
             return
-        if now > visit.latest or visit.shots >= self.rules.max_shots:
+        track, last = visit.track, now > visit.latest
+        # An old copy earns its share at once: taken where fills come in time more seldom than that, and as
+        # the last thing before a visit is turned back. Covers a slow origin, lost sources and crowded links.
+        if track.tariff.grace_us and not visit.old and (
+                track.in_time < track.tariff.old_share or (last and visit.missed >= 0)):
+            visit.old = True
+            if visit.missed >= 0 and self._gate(now, visit, visit.missed, visit.missed):
+                self._shoot(now, visit, visit.missed, visit.missed)
+                return
+        if last or not self._may_repeat(now, visit, visit.ran_host):
             self._finish(visit)
             return
         if now < visit.not_before:
@@ -429,13 +421,13 @@
         source = self._source(now, visit, host)
         known = here == host
         cold = self.cold_since[host] >= 0 or (source >= 0 and self.cold_since[source] >= 0)
-        if not known and visit.missed != host and not cold and self.fills_out * 2 >= self.fill_room:
+        crowded = visit.old or self.fills_out * 2 >= self.fill_room
+        if not known and visit.missed != host and not cold and crowded:
             if self._gate(now, visit, host, host):
-                self._shoot(now, visit, host, host, look=True)
+                self._shoot(now, visit, host, host)
             return
         # Fills that come too late hold their room for little: they get the share of it that comes in time,
         # and one more to find out when that changes.
-        track = visit.track
         if not known and (self.fills_out >= self.fill_room
                           or (track.in_time < 0.5 and track.fills_out >= 1 + self.fill_room * track.in_time)):
             return
@@ -449,11 +441,7 @@
             return
         straight = self.rules.may_pass_by
         host = self.origin if straight else self._pick(now, visit)
-        if host < 0:
-            return
-        if not self._may_repeat(now, visit, host):
-            self._finish(visit)
-        elif self._gate(now, visit, host, -1 if straight else self.origin):
+        if host >= 0 and self._gate(now, visit, host, -1 if straight else self.origin):
             self._shoot(now, visit, host, -1 if straight else self.origin)
 
     def _join_herd(self, now: int, visit: Visit) -> Herd:
@@ -584,9 +572,9 @@
                 return False
         return self._may_repeat(now, visit, host)
 
-    def _shoot(self, now: int, visit: Visit, host: int, source: int, fill: bool = False, look: bool = False,
+    def _shoot(self, now: int, visit: Visit, host: int, source: int, fill: bool = False,
                join: bool = False) -> None:
-        shot = Shot(visit, visit.shots, host, source, now, fill, look)
+        shot = Shot(visit, visit.shots, host, source, now, fill)
         visit.out[visit.shots] = shot
         visit.shots += 1
         self.waiting.pop(visit.id, None)
@@ -601,33 +589,27 @@
             visit.track.fills_out += 1
             if visit.herd is not None and visit.herd.leader is None:
                 visit.herd.leader = shot
-        floor, tariff, oldest = self._floor(visit), visit.track.tariff, 0
+        floor, tariff = self._floor(visit), visit.track.tariff
+        oldest = tariff.fresh_us + tariff.grace_us if visit.old and source == host else 0
         if floor:
             # Rule five: an age of 0 would mean the usual one, so the youngest that can be asked is 1.
-            oldest = max(1, min(now - floor, tariff.fresh_us or now - floor))
+            oldest = max(1, min(now - floor, oldest or tariff.fresh_us or now - floor))
         self.outbox.append(Decision(
             "shoot", visit.id, self.names[host], self.names[source] if source >= 0 else "",
             within_us=max(1, visit.outer - now), keep=2, oldest_us=oldest, join=join, shot=shot.number))
 
     def _find_silent(self, now: int) -> None:
-        """A host that takes shots and ends none, while later ones go overdue too, rests for a while."""
+        """A host that ends none of its shots while several are overdue rests, and its shots go elsewhere."""
         for host, shots in enumerate(self.out_at):
-            if not shots or host == self.origin:
+            if not shots or host == self.origin or now < self.silent_until[host]:
                 continue
-            overdue = [s for s in self._overdue(now, shots) if s.sent > self.heard[host]]
-            if len(overdue) < 2 or now < self.silent_until[host]:
+            # Two, by 0.7 s over twice their sending time: pauses are shorter, and one large object is none.
+            overdue = [shot for shot in shots if shot.sent > self.heard[host]
+                       and now - shot.sent > 700_000 + 2 * shot.visit.send_us()]
+            if len(overdue) < 2:
                 continue
             self._doubt(now, host)
-            if not self.rules.may_withdraw:
-                continue
-            for shot in list(shots):
-                if not shot.withdrawn and shot.visit.track.tariff.redo == REDOABLE and not shot.visit.over:
-                    shot.withdrawn = True
+            for shot in shots if self.rules.may_withdraw else ():
+                if not shot.fixed and shot.visit.track.tariff.redo == REDOABLE and not shot.visit.over:
+                    shot.fixed = True
                     self.outbox.append(Decision("withdraw", shot.visit.id, shot=shot.number))
-
-    def _overdue(self, now: int, shots: dict[Shot, None]) -> Iterator[Shot]:
-        for shot in shots:
-            if now - shot.sent < 700_000:
-                return
-            if now - shot.sent > 700_000 + 2 * shot.visit.send_us():
-                yield shot
