Judge caches by what they answer alone, and parents only while another fills

Cause sought: under a slow origin, fills overdue at every parent and cache were taken for silence and withdrawn.

--- a/hoistplank/benchlink/codec.py
+++ b/hoistplank/benchlink/codec.py
@@ -182,6 +182,7 @@
         parent_tip_multiple=facts.number(info + "parent_fall_multiple", 0.0),
         purge_takes_us=facts.micros(info + "purge_takes", 0),
         slack_us=facts.micros("rules.answer_slack", 0),
+        connect_us=facts.micros("limits.connect_timeout", 0),
         max_shots=facts.whole("limits.max_attempts", 1),
         may_pair=facts.flag("limits.parallel_tries"),
         may_withdraw=facts.flag("limits.may_cancel"),
--- a/hoistplank/choice.py
+++ b/hoistplank/choice.py
@@ -44,11 +44,12 @@
 
 
 class Shot:
-    __slots__ = ("visit", "number", "host", "source", "sent", "fill", "fixed")
+    __slots__ = ("visit", "number", "host", "source", "sent", "fill", "sure", "fixed")
 
-    def __init__(self, visit: Visit, number: int, host: int, source: int, sent: int, fill: bool):
-        self.visit, self.number, self.host, self.source, self.sent = visit, number, host, source, sent
-        self.fill, self.fixed = fill, False  # fixed: withdrawn already, or streaming to its client
+    def __init__(self, visit: Visit, host: int, source: int, sent: int, fill: bool, sure: bool):
+        self.visit, self.number, self.host, self.source, self.sent = visit, visit.shots, host, source, sent
+        self.fill, self.sure = fill, sure  # sure: the cache answers by itself, from a known copy or to a look
+        self.fixed = False  # withdrawn already, or streaming to its client
 
 
 class Visit:
@@ -199,7 +200,7 @@
             return
         self.stirred = True
         self.out_at[shot.host].pop(shot, None)
-        if shot.source >= 0 and shot.source != shot.host:
+        if shot.source >= 0:
             self.out_at[shot.source].pop(shot, None)
         if shot.fill:
             self.fills_out -= 1
@@ -246,8 +247,10 @@
             if host not in self.parents and host != self.origin:
                 self.cold_since[host] = now
         if source in self.parents and source != host:
-            if note == Note.SOURCE_LOST or (shot.fill and result == Result.FULL and not self.site.notes_all):
+            unreached = result == Result.FULL and 0 < self.rules.connect_us <= took + 50_000
+            if note == Note.SOURCE_LOST or (not self.site.notes_all and shot.fill and unreached):
                 # Unreachable from where the cache stands: a dead or cut-off parent. The second takes over.
+                # Without notes a refusal counts only if it took as long as a failed connection does.
                 self._doubt(now, source)
             elif note in (Note.FILLED, Note.FROM_ORIGIN, Note.SOURCE_REFUSED):
                 self._heard(now, source)
@@ -433,7 +436,7 @@
             return
         if source < 0 or not self._gate(now, visit, host, source):
             return
-        self._shoot(now, visit, host, source, fill=not known, join=self.site.joins)
+        self._shoot(now, visit, host, source, fill=not known, join=self.site.joins, sure=known)
 
     def _place_uncached(self, now: int, visit: Visit) -> None:
         if self.origin < 0 or self.states[self.origin] != "up":
@@ -572,14 +575,14 @@
                 return False
         return self._may_repeat(now, visit, host)
 
-    def _shoot(self, now: int, visit: Visit, host: int, source: int, fill: bool = False,
-               join: bool = False) -> None:
-        shot = Shot(visit, visit.shots, host, source, now, fill)
+    def _shoot(self, now: int, visit: Visit, host: int, source: int, fill: bool = False, join: bool = False,
+               sure: bool = False) -> None:
+        shot = Shot(visit, host, source, now, fill, sure or source == host)
         visit.out[visit.shots] = shot
         visit.shots += 1
         self.waiting.pop(visit.id, None)
         self.out_at[host][shot] = None
-        if source >= 0 and source != host:
+        if source >= 0 and not shot.sure:
             self.out_at[source][shot] = None
         for i in (host, source) if source >= 0 and source != host else (host,):
             if self.cold_since[i] >= 0:
@@ -599,14 +602,21 @@
             within_us=max(1, visit.outer - now), keep=2, oldest_us=oldest, join=join, shot=shot.number))
 
     def _find_silent(self, now: int) -> None:
-        """A host that ends none of its shots while several are overdue rests, and its shots go elsewhere."""
+        """A host that ends none of its shots while several are overdue rests, and its shots go elsewhere.
+
+        A cache is judged by what it answers alone; a parent by its fills, and only while another parent still
+        fills: a slow origin makes all of them late, and withdrawing their fills would throw work away.
+        Covers hangs, vanished hosts and cut links; harms where many objects are of many times the mean.
+        """
+        filling = [self.heard[i] for i in self.parents]
         for host, shots in enumerate(self.out_at):
             if not shots or host == self.origin or now < self.silent_until[host]:
                 continue
             # Two, by 0.7 s over twice their sending time: pauses are shorter, and one large object is none.
-            overdue = [shot for shot in shots if shot.sent > self.heard[host]
+            parent = host in self.parents
+            overdue = [shot for shot in shots if shot.sent > self.heard[host] and shot.sure != parent
                        and now - shot.sent > 700_000 + 2 * shot.visit.send_us()]
-            if len(overdue) < 2:
+            if len(overdue) < 2 or (parent and max(filling) < overdue[0].sent):
                 continue
             self._doubt(now, host)
             for shot in shots if self.rules.may_withdraw else ():
--- a/hoistplank/interface.py
+++ b/hoistplank/interface.py
@@ -65,6 +65,7 @@
     parent_tip_multiple: float
     purge_takes_us: int
     slack_us: int
+    connect_us: int
     max_shots: int
     may_pair: bool
     may_withdraw: bool
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -6,8 +6,8 @@
 from hoistplank.choice import Router
 from hoistplank.interface import Decision, HostEntry, HouseRules, Result, Site, Tariff
 
-RULES = HouseRules(250_000, 0.25, 10_000_000, 1_000_000, 3.0, 0.1, 20_000_000, 2.0, 6_000_000, 8_000, 6,
-                   False, True, True, True, True, 1_000_000, False, 0)
+RULES = HouseRules(250_000, 0.25, 10_000_000, 1_000_000, 3.0, 0.1, 20_000_000, 2.0, 6_000_000, 8_000, 400_000,
+                   6, False, True, True, True, True, 1_000_000, False, 0)
 VIDEO = Tariff("video", 500_000, 2.0, 5_000_000, 2.0, 0.2, "redoable", "", 0, 0, 0, 0.0, False, False)
 TRACKS = (
     VIDEO,
