Doubt a host after connections lost in a row, not after a single reset

Cause: on a bad line each reset rested a healthy cache and had it count as cold and empty. A crash with fewer than three shots out shows one connection time-out later.

--- a/hoistplank/choice.py
+++ b/hoistplank/choice.py
@@ -102,7 +102,8 @@
         self.index: dict[str, int] = {}
         self.names, self.zones, self.states = (list[str]() for _ in range(3))
         self.salts, self.cells, self.started, self.life = (list[int]() for _ in range(4))
-        self.heard, self.silent_until, self.silences, self.fills, self.felt = (list[int]() for _ in range(5))
+        self.heard, self.silent_until, self.silences, self.losses = (list[int]() for _ in range(4))
+        self.fills, self.felt = list[int](), list[int]()
         self.cold_since: list[int] = []  # -1: warm
         self.units, self.room, self.trust, self.usual, self.lately = (list[float]() for _ in range(5))
         self.spent: list[deque[tuple[int, float]]] = []
@@ -149,7 +150,7 @@
             self.salts.append(_mix(entry.host))
             for row, first in ((self.cells, 0), (self.started, 0), (self.cold_since, -1), (self.life, 0),
                                (self.heard, now), (self.silent_until, 0), (self.silences, 0), (self.fills, 0),
-                               (self.felt, 0)):
+                               (self.felt, 0), (self.losses, 0)):
                 row.append(first)
             for ratio, start in ((self.units, 1.0), (self.room, 12.0), (self.usual, 0.0), (self.lately, 0.0),
                                  (self.trust, inf)):
@@ -218,21 +219,20 @@
         if herd is not None and herd.leader is shot:
             herd.leader = None
         self._learn(now, visit, shot, result, took, waited, note)
-        visit.over = visit.over or closed
-        if visit.over:
-            self._drop(visit)
+        if visit.over or closed:
+            self._close(visit)
             return
         if result not in NEVER_RAN and visit.ran_at < 0:
             visit.ran_at, visit.ran_host = shot.sent, shot.host
         if result == Result.MISS:
             visit.missed, visit.missed_at = shot.host, now
-        elif result != Result.NEVER_SENT and note not in SOURCE_FAILED:
+        elif result in (Result.FULL, Result.NO_CONNECTION, Result.LATE, Result.WITHDRAWN) and (
+                note not in SOURCE_FAILED):
             visit.failed_at.append(shot.host)
             if result in (Result.FULL, Result.NO_CONNECTION):
                 # What turned us away is crowded: come back a little later each time, spread by chance.
                 visit.not_before = now + int(20_000 * 2 ** min(visit.shots, 4) * (0.5 + self.chance()))
-        if not visit.out:
-            self.waiting[id] = visit
+        self.waiting[id] = visit
 
     def _learn(self, now: int, visit: Visit, shot: Shot, result: int, took: int, waited: int,
                note: int) -> None:
@@ -240,13 +240,16 @@
         if result in SPOKE:
             self._heard(now, host)
         elif result in (Result.NO_CONNECTION, Result.BROKEN):
-            # A lost connection tells of a process that went away, and that may be back any moment, cold and
-            # empty, before the list says so: deploys, crashes, vanished hosts. Where only its table of
-            # connections was full, the host gets less than it could for its cold time.
-            self._doubt(now, host)
-            self.life[host] += 1
-            if host not in self.parents and host != self.origin:
-                self.cold_since[host] = now
+            # Connections lost one after another with no answer between tell of a process that went away, and
+            # may be back any moment, cold and empty, before the list says so: deploys, crashes, vanished
+            # hosts. Single resets on a bad line don't. Where only its table of connections was full, a host
+            # gets less than it could for its cold time.
+            self.losses[host] += 2 if result == Result.NO_CONNECTION else 1
+            if self.losses[host] >= 3:
+                self._doubt(now, host)
+                self.life[host] += 1
+                if host not in self.parents and host != self.origin:
+                    self.cold_since[host] = now
         if source in self.parents and source != host:
             unreached = result == Result.FULL and 0 < self.rules.connect_us <= took + 50_000
             if note == Note.SOURCE_LOST or (not self.site.notes_all and shot.fill and unreached):
@@ -273,7 +276,7 @@
                 elif slowed < 1.4 and len(self.out_at[host]) >= self.room[host] - 2:
                     self.room[host] += 0.3
         elif note in (Note.FILLED, Note.FROM_ORIGIN) and source in self.parents:
-            # How many times its sending time a fill took, with 0.1 s for the way: unlike the first byte it also
+            # How many times its sending time a fill took, 0.1 s for the way: unlike the first byte it also
             # shows a parent whose link is slow. The usual settles over 50 fills, the latest over 5.
             slowed = took / (visit.send_us() + 100_000)
             self.fills[source] += 1
@@ -281,8 +284,7 @@
             self.lately[source] += (slowed - self.lately[source]) / min(5, self.fills[source])
 
     def _heard(self, now: int, host: int) -> None:
-        self.heard[host] = now
-        self.silences[host] = 0
+        self.heard[host], self.silences[host], self.losses[host] = now, 0, 0
         # Back from doubt: half a shot more at a time, in case it came back cold; 16 are more than usual.
         self.trust[host] = self.trust[host] + 0.5 if self.trust[host] < 16 else inf
 
@@ -301,9 +303,7 @@
     def client_left(self, now: int, id: str) -> None:
         visit = self.ledger.get(id)
         if visit is not None:
-            visit.over = True
-            self.waiting.pop(id, None)
-            self._drop(visit)
+            self._close(visit)
             self.stirred = True
 
     def purged(self, now: int, thing: str, group: int, age: int) -> None:
@@ -312,7 +312,7 @@
         self.floors.move_to_end(name)
 
     def probe_answered(self, now: int, host: str, good: bool, took: int, report: list[float]) -> None:
-        self.stirred = True
+        """Nothing is asked: no decision here has needed what a probe costs."""
 
     def timer_due(self, now: int, token: int) -> None:
         self.stirred = True
@@ -355,7 +355,9 @@
             self.wake_at, self.token = now + wait, self.token + 1
             self.outbox.append(Decision("wake", token=self.token, wait_us=wait))
 
-    def _drop(self, visit: Visit) -> None:
+    def _close(self, visit: Visit) -> None:
+        visit.over = True
+        self.waiting.pop(visit.id, None)
         if not visit.out:
             self.ledger.pop(visit.id, None)
 
@@ -369,9 +371,7 @@
             self.outbox.append(Decision("turn_back", visit.id, wait_us=wait))
         else:
             self.outbox.append(Decision("write_off", visit.id))
-        visit.over = True
-        self.waiting.pop(visit.id, None)
-        self._drop(visit)
+        self._close(visit)
 
     def _may_repeat(self, now: int, visit: Visit, host: int) -> bool:
         """Rule two: whether this visit may be shot (again) at this host."""
@@ -390,9 +390,6 @@
 
     def _place(self, now: int, visit: Visit) -> None:
         """Shoots, holds or gives up on one waiting visit."""
-        if visit.over or visit.out:
-            self.waiting.pop(visit.id, None)
-            return
         track, last = visit.track, now > visit.latest
         # An old copy earns its share at once: taken where fills come in time more seldom than that, and as
         # the last thing before a visit is turned back. Covers a slow origin, lost sources and crowded links.
@@ -575,7 +572,7 @@
     def _gate(self, now: int, visit: Visit, host: int, source: int) -> bool:
         """What every shot must pass: drains, cold budgets and the limits on shots."""
         send = visit.track.send_us
-        for i in (host, source) if source >= 0 and source != host else (host,):
+        for i in (host,) if source in (-1, host) else (host, source):
             if self.states[i] != "up" or not self._budget(now, i, send):
                 return False
         return self._may_repeat(now, visit, host)
@@ -589,7 +586,7 @@
         self.out_at[host][shot] = None
         if source >= 0 and not shot.sure:
             self.out_at[source][shot] = None
-        for i in (host, source) if source >= 0 and source != host else (host,):
+        for i in (host,) if source in (-1, host) else (host, source):
             if self.cold_since[i] >= 0:
                 self.spent[i].append((now, visit.track.send_us))
         if fill:
