--- a/hoistplank/choice.py
+++ b/hoistplank/choice.py
@@ -229,7 +229,7 @@
         elif result in (Result.FULL, Result.NO_CONNECTION, Result.LATE, Result.WITHDRAWN) and (
                 note not in SOURCE_FAILED):
             visit.failed_at.append(shot.host)
-            if result in (Result.FULL, Result.NO_CONNECTION):
+            if result == Result.FULL:
                 # What turned us away is crowded: come back a little later each time, spread by chance.
                 visit.not_before = now + int(20_000 * 2 ** min(visit.shots, 4) * (0.5 + self.chance()))
         self.waiting[id] = visit
