Share the room at caches among dispatchers, judge untold links by what is carried

Cause: with several dispatchers a location each took a whole dispatcher's room at a cache; where no link is told, a cold cache's budget came from a guess at less than half of its link.

--- a/hoistplank/choice.py
+++ b/hoistplank/choice.py
@@ -10,7 +10,7 @@
 
 from collections import OrderedDict, deque
 from hashlib import blake2b
-from math import inf, log
+from math import exp, inf, log
 from operator import attrgetter
 from random import Random
 
@@ -101,11 +101,11 @@
         # Cache hosts: parallel arrays under a dense index that a host keeps for good.
         self.index: dict[str, int] = {}
         self.names, self.zones, self.states = (list[str]() for _ in range(3))
-        self.salts, self.cells, self.started, self.life = (list[int]() for _ in range(4))
+        self.salts, self.cells, self.started, self.life, self.cold_since = (list[int]() for _ in range(5))
         self.heard, self.silent_until, self.silences, self.losses = (list[int]() for _ in range(4))
-        self.fills, self.felt = list[int](), list[int]()
-        self.cold_since: list[int] = []  # -1: warm
-        self.units, self.room, self.trust, self.usual, self.lately = (list[float]() for _ in range(5))
+        self.fills, self.felt, self.carried_at = (list[int]() for _ in range(3))
+        self.units, self.room, self.most, self.carry = (list[float]() for _ in range(4))
+        self.trust, self.usual, self.lately = (list[float]() for _ in range(3))
         self.spent: list[deque[tuple[int, float]]] = []
         self.out_at: list[dict[Shot, None]] = []
         self.caches, self.parents, self.origin = list[int](), list[int](), -1
@@ -148,13 +148,16 @@
             i = self.index[entry.host] = len(self.names)
             self.names.append(entry.host)
             self.salts.append(_mix(entry.host))
-            for row, first in ((self.cells, 0), (self.started, 0), (self.cold_since, -1), (self.life, 0),
-                               (self.heard, now), (self.silent_until, 0), (self.silences, 0), (self.fills, 0),
-                               (self.felt, 0), (self.losses, 0)):
-                row.append(first)
-            for ratio, start in ((self.units, 1.0), (self.room, 12.0), (self.usual, 0.0), (self.lately, 0.0),
-                                 (self.trust, inf)):
-                ratio.append(start)
+            for row in (self.cells, self.started, self.life, self.silent_until, self.silences, self.losses,
+                        self.fills, self.felt):
+                row.append(0)
+            for ratio in (self.carry, self.usual, self.lately):
+                ratio.append(0.0)
+            for figures, first in ((self.units, 1.0), (self.room, 12.0), (self.most, inf), (self.trust, inf)):
+                figures.append(first)
+            self.cold_since.append(-1)  # -1: warm
+            self.heard.append(now)
+            self.carried_at.append(now)
             self.zones.append("")
             self.states.append("gone")
             self.spent.append(deque())
@@ -176,7 +179,9 @@
         self.zones[i], self.cells[i], self.started[i] = entry.zone, entry.cell, entry.started_us
         self.units[i], self.states[i] = entry.units, entry.state
         if self.site.links_told and entry.units > 0:
-            self.room[i] = 2.0 + 2.0 * entry.units / max(1, self.site.dispatchers_here)
+            # Twice its link and two more: at twice its sending time a hit is still in time at most sites.
+            self.most[i] = max(2.0, (2.0 + 2.0 * entry.units) / max(1, self.site.dispatchers_here))
+        self.room[i] = min(self.room[i], self.most[i])
 
     def visit_came(self, now: int, id: str, track: str, thing: str, part: int, group: int, kb: float,
                    until: int) -> None:
@@ -260,6 +265,11 @@
                 self._heard(now, source)
         if result != Result.SUCCEEDED or track.tariff.uncached or note == Note.OLD:
             return
+        for i in (host,) if shot.sure or source < 0 else (host, source):
+            # What a host carries for this dispatcher, in transfers, over some 5 s.
+            self.carry[i] *= exp((self.carried_at[i] - now) / 5e6)
+            self.carry[i] += visit.send_us() / 5e6
+            self.carried_at[i] = now
         herd = visit.herd
         if herd is not None:
             if note in (Note.FILLED, Note.FROM_ORIGIN, Note.JOINED) or herd.host != host or not herd.born:
@@ -269,12 +279,10 @@
         if note == Note.HIT:
             if not visit.known_us:
                 track.saw(took)
-            elif not self.site.links_told:
-                slowed = took / max(1.0, visit.known_us + 5_000)
-                if slowed > 2:
-                    self.room[host] = max(3.0, self.room[host] * 0.97)
-                elif slowed < 1.4 and len(self.out_at[host]) >= self.room[host] - 2:
-                    self.room[host] += 0.3
+            elif took > 2 * visit.known_us + 10_000:
+                self.room[host] = max(2.0, self.room[host] * 0.97)
+            elif took < 1.4 * visit.known_us + 5_000 and len(self.out_at[host]) >= self.room[host] - 2:
+                self.room[host] = min(self.most[host], self.room[host] + 0.3)
         elif note in (Note.FILLED, Note.FROM_ORIGIN) and source in self.parents:
             # How many times its sending time a fill took, 0.1 s for the way: unlike the first byte it also
             # shows a parent whose link is slow. The usual settles over 50 fills, the latest over 5.
@@ -382,11 +390,8 @@
             return True
         if tariff.redo == IRREVERSIBLE or now + 50_000 > visit.ran_at + tariff.redo_window_us:
             return False
-        first = visit.ran_host
-        if tariff.redo_group == "all":
-            return True
         places = self.zones if tariff.redo_group == "zone" else self.cells
-        return places[first] == places[host]
+        return tariff.redo_group == "all" or places[visit.ran_host] == places[host]
 
     def _place(self, now: int, visit: Visit) -> None:
         """Shoots, holds or gives up on one waiting visit."""
@@ -420,9 +425,8 @@
         host = here if here >= 0 and self._has_room(now, here) else self._pick(now, visit)
         if host < 0:
             return
-        source = self._source(now, visit, host)
-        known = here == host
-        cold = self.cold_since[host] >= 0 or (source >= 0 and self.cold_since[source] >= 0)
+        source, known = self._source(now, visit, host), here == host
+        cold = self.cold_since[host] >= 0 or self.cold_since[source] >= 0
         crowded = visit.old or self.fills_out * 2 >= self.fill_room
         if not known and visit.missed != host and not cold and crowded:
             if self._gate(now, visit, host, host):
@@ -433,9 +437,8 @@
         if not known and (self.fills_out >= self.fill_room
                           or (track.in_time < 0.5 and track.fills_out >= 1 + self.fill_room * track.in_time)):
             return
-        if source < 0 or not self._gate(now, visit, host, source):
-            return
-        self._shoot(now, visit, host, source, fill=not known, join=self.site.joins, sure=known)
+        if self._gate(now, visit, host, source):
+            self._shoot(now, visit, host, source, fill=not known, join=self.site.joins, sure=known)
 
     def _place_uncached(self, now: int, visit: Visit) -> None:
         if self.origin < 0 or self.states[self.origin] != "up":
@@ -480,20 +483,16 @@
         return self.states[host] == "up" and (now >= self.silent_until[host])
 
     def _has_room(self, now: int, host: int) -> bool:
-        if not self._usable(now, host):
-            return False
-        out = len(self.out_at[host])
-        return out < min(self.trust[host], self.room[host])
+        return self._usable(now, host) and len(self.out_at[host]) < min(self.trust[host], self.room[host])
 
     def _rank(self, hosts: list[int], key: int) -> list[int]:
         """Weighted rendezvous: an order that stays put for the rest when a host comes or goes."""
-        weighted = self.site.links_told
         scored = []
         for i in hosts:
             x = (key ^ self.salts[i]) * 0x9E3779B97F4A7C15 & 0xFFFFFFFFFFFFFFFF
             x = ((x ^ x >> 29) * 0xBF58476D1CE4E5B9 & 0xFFFFFFFFFFFFFFFF)
             x ^= x >> 32
-            weight = self.units[i] if weighted and self.units[i] > 0 else 1.0
+            weight = self.units[i] if self.site.links_told and self.units[i] > 0 else 1.0
             scored.append((-log((x + 1) / 2**64) / weight, i))
         scored.sort()
         return [i for _, i in scored]
@@ -508,16 +507,12 @@
         return visit.orders
 
     def _pick(self, now: int, visit: Visit) -> int:
-        order = [i for i in self._orders(visit)[0] if self._usable(now, i)]
-        open_now = [i for i in order if self._has_room(now, i) and self._budget(now, i, visit.track.send_us)]
-        for i in open_now:
-            if i not in visit.failed_at:
-                return i
-        if open_now:
-            return open_now[0]
-        if not order and not any(self.states[i] == "up" for i in self.caches):
+        if not any(self.states[i] == "up" for i in self.caches):
             self._finish(visit)
-        return -1
+            return -1
+        fit = [i for i in self._orders(visit)[0]
+               if self._has_room(now, i) and self._budget(now, i, visit.track.send_us)]
+        return next((i for i in fit if i not in visit.failed_at), fit[0] if fit else -1)
 
     def _source(self, now: int, visit: Visit, host: int) -> int:
         """The first parent by a hash over all listed, the second where the first may not or runs slow."""
@@ -561,13 +556,15 @@
         return sum(work for _, work in window) + send_us <= budget
 
     def _link(self, host: int) -> float:
-        """A host's link in transfers: as told, else its least, a part of what the location's link carries."""
+        """A host's link in transfers: as told, else the more of its part of the location's link and of what
+        one of its kind has carried, for all dispatchers alike."""
         if self.site.links_told:
             return self.units[host]
-        if self.site.link_kb_s > 0 and self.site.stream_kb_s > 0:
-            link = self.site.link_kb_s / self.site.stream_kb_s
-            return link if host in self.parents else link / max(1, len(self.caches))
-        return 1.0
+        part = self.site.link_kb_s / max(1.0, self.site.stream_kb_s)
+        if host in self.parents:
+            return max(1.0, part, self.site.dispatchers * max(self.carry[i] for i in self.parents))
+        carried = max(self.carry[i] for i in self.caches) * max(1, self.site.dispatchers_here)
+        return max(1.0, part / len(self.caches), carried)
 
     def _gate(self, now: int, visit: Visit, host: int, source: int) -> bool:
         """What every shot must pass: drains, cold budgets and the limits on shots."""
