--- a/hoistplank/benchlink/hosting.py
+++ b/hoistplank/benchlink/hosting.py
@@ -125,7 +125,8 @@
             f.number("volume_kb", 0.0),
             f.micros("give_up_at"),
         )
-        return lambda: router.visit_came(self.now, visit, track, thing, part, group, size, until)
+        again = f.flag("is_retry")
+        return lambda: router.visit_came(self.now, visit, track, thing, part, group, size, until, again)
 
     def ended(self, router: Router, f: Fields) -> Callable[[], None]:
         visit, shot, status = f.text("request_id"), f.whole("trial"), f.text("status")
--- a/hoistplank/choice.py
+++ b/hoistplank/choice.py
@@ -57,9 +57,10 @@
 
     __slots__ = ("id", "track", "thing", "part", "group", "print", "known_us", "latest", "outer", "out",
                  "shots", "over", "ran_at", "ran_host", "missed", "missed_at", "not_before", "herd",
-                 "marked", "failed_at", "weight", "orders", "listing", "old")
+                 "marked", "failed_at", "weight", "orders", "listing", "old",
+                 "again")
 
-    def __init__(self, id: str, track: Track, thing: str, part: int, group: int, outer: int):
+    def __init__(self, id: str, track: Track, thing: str, part: int, group: int, outer: int, again: bool):
         self.id, self.track, self.thing, self.part, self.group = id, track, thing, part, group
         self.print = (thing, part, track.tariff.name)
         self.known_us, self.outer, self.latest = 0.0, outer, outer
@@ -68,7 +69,7 @@
         self.missed, self.missed_at, self.not_before, self.marked = -1, 0, 0, False
         self.herd: Herd | None = None
         self.failed_at: list[int] = []
-        self.weight, self.listing, self.old = 0.0, -1, False
+        self.weight, self.listing, self.old, self.again = 0.0, -1, False, again
         self.orders: tuple[list[int], list[int]] = ([], [])
 
     def send_us(self) -> float:
@@ -184,16 +185,15 @@
         self.room[i] = min(self.room[i], self.most[i])
 
     def visit_came(self, now: int, id: str, track: str, thing: str, part: int, group: int, kb: float,
-                   until: int) -> None:
+                   until: int, again: bool) -> None:
         row = self.tracks[track]
-        visit = Visit(id, row, thing, part, group, until)
+        visit = Visit(id, row, thing, part, group, until, again)
         tariff = row.tariff
         if kb > 0 and self.site.stream_kb_s > 0:
             visit.known_us = kb / self.site.stream_kb_s * 1e6
             row.saw(visit.known_us)
         # The last moment for a shot that can still meet the goal time; an unknown size counts as small.
-        guess = row.send_us if tariff.goal_stretch < 1 and not tariff.uncached else 0.0
-        send = visit.known_us or guess
+        send = visit.known_us or (0.0 if tariff.goal_stretch >= 1 or tariff.uncached else row.send_us)
         goal = now + int(visit.goal_us(send)) - 2 * self.site.tick_us
         visit.latest = min(goal, until - 100_000) - int(send)
         self.ledger[id] = self.waiting[id] = visit
@@ -336,11 +336,10 @@
         return self.outbox.popleft() if self.outbox else None
 
     def _settle(self, now: int) -> None:
-        rules = self.rules
-        if rules.must_follow and not self.asking:
+        if self.rules.must_follow and not self.asking:
             self.asking = True
             self.outbox.append(Decision("follow"))
-        horizon = now - 2 * rules.purge_takes_us - 1_000_000
+        horizon = now - 2 * self.rules.purge_takes_us - 1_000_000
         while self.floors and next(iter(self.floors.values())) < horizon:
             self.floors.popitem(last=False)
         if now >= self.silence_check:
@@ -348,10 +347,11 @@
             self._find_silent(now)
         if self.waiting:
             # Most earnings for the time first: what serves most under a crowded link. Where the source is
-            # slow, a track whose fills miss their goal yields to one whose goal leaves room for the wait.
+            # slow, a track whose fills miss their goal yields to one whose goal leaves room for the wait. A
+            # client that comes again has most often missed its goal, which runs from its first try.
             for visit in self.waiting.values():
                 row = visit.track
-                earns = max(0.001, row.tariff.earnings) * (row.in_time + 0.02)
+                earns = max(0.001, row.tariff.earnings) * (row.in_time + 0.02) * (0.2 if visit.again else 1.0)
                 visit.weight = (visit.send_us() + row.wait_us) / earns
             for visit in sorted(self.waiting.values(), key=attrgetter("weight")):
                 herd = visit.herd
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -68,11 +68,11 @@
                 since = int(started[0]) * 1000 if started else 0
                 entries.append(HostEntry(host, zone, kind, 0, 5.0, since, state))
             r.hosts_listed(now, words[0], entries)
-        elif name == "visit":  # visit ID TRACK THING [part= group= kb= until_ms=]
+        elif name == "visit":  # visit ID TRACK THING [part= group= kb= until_ms= again=yes]
             p = pairs(words[3:])
             until = int(p.get("until_ms", now // 1000 + 2_500)) * 1000
             r.visit_came(now, words[0], words[1], words[2], int(p.get("part", 0)), int(p.get("group", 0)),
-                         float(p.get("kb", 100)), until)
+                         float(p.get("kb", 100)), until, p.get("again") == "yes")
         elif name == "end":  # end ID SHOT RESULT [note= closed=1 took_ms=]
             p = pairs(words[3:])
             closed = bool(int(p.get("closed", int(words[2] == "succeeded"))))
