--- a/hoistplank/choice.py
+++ b/hoistplank/choice.py
@@ -83,11 +83,11 @@
 class Herd:
     """What is known of one fingerprint: its bucket, its leader, and where a copy was last seen."""
 
-    __slots__ = ("tokens", "stamp", "leader", "host", "life", "seen", "born", "turned", "turned_at")
+    __slots__ = ("tokens", "stamp", "leader", "host", "life", "seen", "born")
 
     def __init__(self, now: int) -> None:
         self.tokens, self.stamp, self.leader = 1.0, now, None  # type: float, int, Shot | None
-        self.host, self.life, self.seen, self.born, self.turned, self.turned_at = -1, 0, 0, 0, 0, 0
+        self.host, self.life, self.seen, self.born = -1, 0, 0, 0
 
 
 def _mix(text: str) -> int:
@@ -369,7 +369,7 @@
         if not visit.out:
             self.ledger.pop(visit.id, None)
 
-    def _finish(self, now: int, visit: Visit) -> None:
+    def _finish(self, visit: Visit) -> None:
         """The final answer of a visit that is given up on, at once."""
         tariff = visit.track.tariff
         harmless = tariff.redo == REDOABLE or visit.ran_at < 0
@@ -377,8 +377,6 @@
             longest = self.rules.max_return_us if self.rules.may_name_return else 0
             wait = int(longest * (0.5 + self.chance() / 2))
             self.outbox.append(Decision("turn_back", visit.id, wait_us=wait))
-            if visit.herd is not None:
-                visit.herd.turned, visit.herd.turned_at = visit.herd.turned + 1, now
         else:
             self.outbox.append(Decision("write_off", visit.id))
         self._close(visit)
@@ -407,7 +405,7 @@
                 self._shoot(now, visit, visit.missed, visit.missed)
                 return
         if last or not self._may_repeat(now, visit, visit.ran_host):
-            self._finish(now, visit)
+            self._finish(visit)
             return
         if now < visit.not_before:
             return
@@ -444,7 +442,7 @@
 
     def _place_uncached(self, now: int, visit: Visit) -> None:
         if self.origin < 0 or self.states[self.origin] != "up":
-            self._finish(now, visit)
+            self._finish(visit)
             return
         straight = self.rules.may_pass_by
         host = self.origin if straight else self._pick(now, visit)
@@ -462,9 +460,6 @@
         # during a fill of any length finds the bucket empty. Harmless: without a leader nobody waits.
         if herd.leader is None:
             herd.tokens = min(1.0, herd.tokens + (now - herd.stamp) * 8e-6)
-        # Where clients don't mark it, one that asks for what was just turned back has most likely come again.
-        if herd.turned and now - herd.turned_at < 2_000_000:
-            herd.turned, visit.again = herd.turned - 1, True
         herd.stamp = now
         visit.marked = herd.tokens < 1
         if not visit.marked:
@@ -513,7 +508,7 @@
 
     def _pick(self, now: int, visit: Visit) -> int:
         if not any(self.states[i] == "up" for i in self.caches):
-            self._finish(now, visit)
+            self._finish(visit)
             return -1
         fit = [i for i in self._orders(visit)[0]
                if self._has_room(now, i) and self._budget(now, i, visit.track.send_us)]
