Go straight to a parent where no cache of the location may be used

Cause: with all caches of a location gone its dispatchers turned every visit back, though parents and origin were idle.

--- a/hoistplank/choice.py
+++ b/hoistplank/choice.py
@@ -16,9 +16,8 @@
 
 from hoistplank.interface import IRREVERSIBLE, REDOABLE, Decision, HostEntry, Note, Result, Site, Tariff
 
-# Outcomes that prove that a shot never ran.
+# Outcomes that prove that a shot never ran; and those in which the cache host itself spoke.
 NEVER_RAN = frozenset((Result.FULL, Result.NO_CONNECTION, Result.NEVER_SENT, Result.MISS))
-# Outcomes in which the cache host itself spoke, so that it is no silent one.
 SPOKE = frozenset((Result.SUCCEEDED, Result.ERROR, Result.FULL, Result.MISS))
 # Notes by which the source failed, not the cache host that tells of it.
 SOURCE_FAILED = frozenset((Note.SOURCE_REFUSED, Note.SOURCE_LOST, Note.SOURCE_LACKS, Note.ORIGIN_LOST))
@@ -63,12 +62,11 @@
     def __init__(self, id: str, track: Track, thing: str, part: int, group: int, outer: int, again: bool):
         self.id, self.track, self.thing, self.part, self.group = id, track, thing, part, group
         self.print = (thing, part, track.tariff.name)
-        self.known_us, self.outer, self.latest = 0.0, outer, outer
-        self.shots, self.over, self.ran_at, self.ran_host = 0, False, -1, -1
-        self.out: dict[int, Shot] = {}
+        self.known_us, self.outer, self.latest, self.ran_at, self.ran_host = 0.0, outer, outer, -1, -1
+        self.shots, self.over = 0, False
         self.missed, self.missed_at, self.not_before, self.marked = -1, 0, 0, False
         self.herd: Herd | None = None
-        self.failed_at: list[int] = []
+        self.out, self.failed_at = dict[int, Shot](), list[int]()
         self.weight, self.listing, self.old, self.again = 0.0, -1, False, again
         self.orders: tuple[list[int], list[int]] = ([], [])
 
@@ -132,14 +130,12 @@
         if form == "failed":
             self.asking = False
             return
-        named = set()
         for entry in entries:
-            named.add(entry.host)
             self._list(now, entry)
-        if form != "changes":
-            for host, i in self.index.items():
-                if host not in named:
-                    self.states[i] = "gone"
+        named = {entry.host for entry in entries}
+        for host, i in self.index.items():
+            if form != "changes" and host not in named:
+                self.states[i] = "gone"
         self.listed_once = True
         self.listing += 1
 
@@ -169,9 +165,7 @@
                 self.parents.append(i)
             elif entry.zone == self.site.zone:
                 self.caches.append(i)
-        came_back = self.states[i] == "gone" and entry.state == "up"
-        restarted = entry.started_us != self.started[i]
-        if entry.state == "up" and (came_back or restarted):
+        if entry.state == "up" and (self.states[i] == "gone" or entry.started_us != self.started[i]):
             self.life[i] += 1
             self.silent_until[i], self.silences[i], self.trust[i] = 0, 0, inf
             since = entry.started_us if entry.started_us > 0 else (now if self.listed_once else -1)
@@ -271,7 +265,7 @@
             self.carry[i] += visit.send_us() / 5e6
             self.carried_at[i] = now
         herd = visit.herd
-        if herd is not None:
+        if herd is not None and host not in self.parents:
             if note in (Note.FILLED, Note.FROM_ORIGIN, Note.JOINED) or herd.host != host or not herd.born:
                 fresh = track.tariff.fresh_us
                 herd.born = shot.sent if note != Note.HIT else now - fresh // 2
@@ -413,8 +407,7 @@
             self._place_uncached(now, visit)
             return
         herd = visit.herd or self._join_herd(now, visit)
-        here = self._copy_at(now, visit, herd)
-        leader = herd.leader
+        here, leader = self._copy_at(now, visit, herd), herd.leader
         if here < 0 and visit.marked and leader is not None and self._usable(now, leader.host):
             if self.site.joins:
                 if self._gate(now, visit, leader.host, leader.source):
@@ -424,6 +417,7 @@
                 return
         host = here if here >= 0 and self._has_room(now, here) else self._pick(now, visit)
         if host < 0:
+            self._pass_by(now, visit)
             return
         source, known = self._source(now, visit, host), here == host
         cold = self.cold_since[host] >= 0 or self.cold_since[source] >= 0
@@ -434,12 +428,28 @@
             return
         # Fills that come too late hold their room for little: they get the share of it that comes in time,
         # and one more to find out when that changes.
-        if not known and (self.fills_out >= self.fill_room
-                          or (track.in_time < 0.5 and track.fills_out >= 1 + self.fill_room * track.in_time)):
-            return
-        if self._gate(now, visit, host, source):
+        full = self.fills_out >= self.fill_room or (
+            track.in_time < 0.5 and track.fills_out >= 1 + self.fill_room * track.in_time)
+        if (known or not full) and self._gate(now, visit, host, source):
             self._shoot(now, visit, host, source, fill=not known, join=self.site.joins, sure=known)
 
+    def _pass_by(self, now: int, visit: Visit) -> None:
+        """Where all caches are gone, silent or out of a cold host's budget, visits go straight to a parent.
+
+        Not where they are merely full, and within the room for fills. Covers lost locations, releases and
+        mass restarts; harms by taking from the link what caches would spare it.
+        """
+        send = visit.track.send_us
+        if any(self.trust[i] > 8 and self._usable(now, i) and self._budget(now, i, send)
+               for i in self.caches):
+            return
+        parent = self._source(now, visit, -1) if self.rules.may_pass_by else -1
+        origin = self.origin if self.origin >= 0 and self.states[self.origin] == "up" else parent
+        if parent >= 0 and self.fills_out < self.fill_room and self._gate(now, visit, parent, origin):
+            self._shoot(now, visit, parent, origin, fill=True)
+        elif parent < 0 and not any(self.states[i] == "up" for i in self.caches):
+            self._finish(visit)
+
     def _place_uncached(self, now: int, visit: Visit) -> None:
         if self.origin < 0 or self.states[self.origin] != "up":
             self._finish(visit)
@@ -461,10 +471,8 @@
         if herd.leader is None:
             herd.tokens = min(1.0, herd.tokens + (now - herd.stamp) * 8e-6)
         herd.stamp = now
-        visit.marked = herd.tokens < 1
-        if not visit.marked:
-            herd.tokens -= 1
-        visit.herd = herd
+        visit.herd, visit.marked = herd, herd.tokens < 1
+        herd.tokens -= not visit.marked
         return herd
 
     def _copy_at(self, now: int, visit: Visit, herd: Herd) -> int:
@@ -507,9 +515,6 @@
         return visit.orders
 
     def _pick(self, now: int, visit: Visit) -> int:
-        if not any(self.states[i] == "up" for i in self.caches):
-            self._finish(visit)
-            return -1
         fit = [i for i in self._orders(visit)[0]
                if self._has_room(now, i) and self._budget(now, i, visit.track.send_us)]
         return next((i for i in fit if i not in visit.failed_at), fit[0] if fit else -1)
@@ -528,11 +533,8 @@
                     and self.lately[second] * 1.5 < self.lately[first]):
                 return second
             self.felt[first] = now
-        if good:
-            return good[0]
-        if self.origin >= 0 and self.states[self.origin] == "up":
-            return self.origin
-        return host
+        spare = self.origin if self.origin >= 0 and self.states[self.origin] == "up" else host
+        return good[0] if good else spare
 
     def _budget(self, now: int, host: int, send_us: float) -> bool:
         """Rule four: what a cold host may be sent from here within any window of the stated length."""
@@ -603,15 +605,14 @@
     def _find_silent(self, now: int) -> None:
         """A host that ends none of its shots while several are overdue rests, and its shots go elsewhere.
 
-        A cache is judged by what it answers alone; a parent by its fills, and only while another parent still
-        fills: a slow origin makes all of them late, and withdrawing their fills would throw work away.
-        Covers hangs, vanished hosts and cut links; harms where many objects are of many times the mean.
+        A cache is judged by what it answers alone; a parent by its fills, and only while others fill: a slow
+        origin delays all. Covers hangs, vanished hosts, cut links; harms where many objects are huge.
         """
         filling = [self.heard[i] for i in self.parents]
         for host, shots in enumerate(self.out_at):
             if not shots or host == self.origin or now < self.silent_until[host]:
                 continue
-            # Two, by 0.7 s over twice their sending time: pauses are shorter, and one large object is none.
+            # Two, 0.7 s over twice their sending time: pauses are shorter, one large object is no sign.
             parent = host in self.parents
             overdue = [shot for shot in shots if shot.sent > self.heard[host] and shot.sure != parent
                        and now - shot.sent > 700_000 + 2 * shot.visit.send_us()]
