Share the first room of caches with untold links among dispatchers too

Cause: three or four dispatchers of a location each began with a whole dispatcher's room at a cache whose link isn't told, and took long to learn better.

--- a/hoistplank/choice.py
+++ b/hoistplank/choice.py
@@ -118,11 +118,10 @@
         self.fills_out, self.wake_at, self.token = 0, 0, 0
         # Fills that fill the location's link at a client's pace, half as many more to keep it busy between
         # them: measured on charge-portal, 1.0 loses 0.05 and 1.3 to 1.7 are alike.
-        self.fill_room = self.full_room = self.whole_room = inf
+        self.fill_room = self.full_room = inf
         if site.link_kb_s > 0 and site.stream_kb_s > 0:
             share = site.link_kb_s / site.stream_kb_s / max(1, site.dispatchers_here)
             self.fill_room = self.full_room = max(2.0, 1.5 * share)
-            self.whole_room = self.full_room * max(1, site.dispatchers_here)
 
     # Inputs: they only update what is known.
 
@@ -151,7 +150,8 @@
                 row.append(0)
             for ratio in (self.carry, self.usual, self.lately):
                 ratio.append(0.0)
-            for figures, first in ((self.units, 1.0), (self.room, 12.0), (self.most, inf), (self.trust, inf)):
+            room = max(2.0, 12.0 / max(1, self.site.dispatchers_here))  # a start; hits soon correct it
+            for figures, first in ((self.units, 1.0), (self.room, room), (self.most, inf), (self.trust, inf)):
                 figures.append(first)
             self.cold_since.append(-1)  # -1: warm
             self.heard.append(now)
@@ -211,11 +211,9 @@
                 in_time = result == Result.SUCCEEDED and took <= visit.goal_us(visit.send_us())
                 visit.track.filled(took, visit.send_us(), in_time)
                 # A crowded origin takes longer for each fill, the more are out: fewer come sooner.
-                # Where other dispatchers of the location died, their part of the link is free to grow into.
-                crowded = self.fills_out >= self.fill_room - 2
-                if in_time and (crowded or self.fill_room < self.full_room):
-                    self.fill_room = min(self.whole_room, self.fill_room + 0.3)
-                elif crowded and not in_time:
+                if in_time:
+                    self.fill_room = min(self.full_room, self.fill_room + 0.3)
+                elif self.fills_out >= self.fill_room - 2:
                     self.fill_room = max(0.3 * self.full_room, self.fill_room * 0.95)
         herd = visit.herd
         if herd is not None and herd.leader is shot:
