--- a/hoistplank/choice.py
+++ b/hoistplank/choice.py
@@ -143,21 +143,20 @@
         i = self.index.get(entry.host, -1)
         if i < 0:
             i = self.index[entry.host] = len(self.names)
-            self.names.append(entry.host)
+            for words, word in ((self.names, entry.host), (self.zones, ""), (self.states, "gone")):
+                words.append(word)
             self.salts.append(_mix(entry.host))
             for row in (self.cells, self.started, self.life, self.silent_until, self.silences, self.losses,
                         self.fills, self.felt):
                 row.append(0)
             for ratio in (self.carry, self.usual, self.lately):
                 ratio.append(0.0)
-            room = max(2.0, 8.0 / max(1, self.site.dispatchers_here))  # 6 to 8 are alike, 12 loses 0.02
+            # Where no link is told, 8 to begin with, shared: 6 to 8 are alike, 12 loses 0.02 on screen-media.
+            room = inf if self.site.links_told else max(2.0, 8.0 / max(1, self.site.dispatchers_here))
             for figures, first in ((self.units, 1.0), (self.room, room), (self.most, inf), (self.trust, inf)):
                 figures.append(first)
-            self.cold_since.append(-1)  # -1: warm
-            self.heard.append(now)
-            self.carried_at.append(now)
-            self.zones.append("")
-            self.states.append("gone")
+            for times, first_at in ((self.cold_since, -1), (self.heard, now), (self.carried_at, now)):
+                times.append(first_at)  # cold_since is -1 where warm
             self.spent.append(deque())
             self.out_at.append({})
             if entry.kind == self.site.origin_kind:
@@ -175,7 +174,7 @@
         self.zones[i], self.cells[i], self.started[i] = entry.zone, entry.cell, entry.started_us
         self.units[i], self.states[i] = entry.units, entry.state
         if self.site.links_told and entry.units > 0:
-            # Twice its link and two more: charge-portal loses 0.1 at 1.5 links and 0.04 at 2.7 (measured).
+            # Twice its link and two more: at twice its sending time a hit is still in time at most goals.
             self.most[i] = max(2.0, (2.0 + 2.0 * entry.units) / max(1, self.site.dispatchers_here))
         self.room[i] = min(self.room[i], self.most[i])
 
@@ -183,12 +182,11 @@
                    until: int, again: bool) -> None:
         row = self.tracks[track]
         visit = Visit(id, row, thing, part, group, until, again)
-        tariff = row.tariff
         if kb > 0 and self.site.stream_kb_s > 0:
             visit.known_us = kb / self.site.stream_kb_s * 1e6
             row.saw(visit.known_us)
         # The last moment for a shot that can still meet the goal time; an unknown size counts as small.
-        send = visit.known_us or (0.0 if tariff.goal_stretch >= 1 or tariff.uncached else row.send_us)
+        send = visit.known_us or (0.0 if row.tariff.goal_stretch >= 1 or row.tariff.uncached else row.send_us)
         goal = now + int(visit.goal_us(send)) - 2 * self.site.tick_us
         visit.latest = min(goal, until - 100_000) - int(send)
         self.ledger[id] = self.waiting[id] = visit
@@ -268,8 +266,7 @@
         herd = visit.herd
         if herd is not None and host not in self.parents:
             if note in (Note.FILLED, Note.FROM_ORIGIN, Note.JOINED) or herd.host != host or not herd.born:
-                fresh = track.tariff.fresh_us
-                herd.born = shot.sent if note != Note.HIT else now - fresh // 2
+                herd.born = shot.sent if note != Note.HIT else now - track.tariff.fresh_us // 2
             herd.host, herd.life, herd.seen = host, self.life[host], now
         if note == Note.HIT:
             if not visit.known_us:
@@ -312,7 +309,6 @@
     def purged(self, now: int, thing: str, group: int, age: int) -> None:
         name = thing or group
         self.floors[name] = max(self.floors.get(name, 0), now - age)
-        self.floors.move_to_end(name)
 
     def probe_answered(self, now: int, host: str, good: bool, took: int, report: list[float]) -> None:
         """Nothing is asked: no decision here has needed what a probe costs."""
@@ -322,7 +318,6 @@
         if token == self.token:
             self.wake_at = 0
 
-    # Answers.
 
     def next_decision(self, now: int) -> Decision | None:
         if self.stirred:
@@ -342,8 +337,8 @@
             self._find_silent(now)
         if self.waiting:
             # Most earnings for the time first: what serves most under a crowded link. Where the source is
-            # slow, a track whose fills miss their goal yields to one whose goal leaves room for the wait. A
-            # client that comes again has most often missed its goal, which runs from its first try.
+            # slow, a track whose fills miss their goal yields to one whose goal leaves room for the wait; so
+            # does a client that comes again: its goal runs from its first try.
             for visit in self.waiting.values():
                 row = visit.track
                 earns = max(0.001, row.tariff.earnings) * (row.in_time + 0.02) * (0.2 if visit.again else 1.0)
@@ -440,8 +435,7 @@
         Not where they are merely full, and within the room for fills. Covers lost locations, releases and
         mass restarts; harms by taking from the link what caches would spare it.
         """
-        send = visit.track.send_us
-        if any(self.trust[i] > 8 and self._usable(now, i) and self._budget(now, i, send)
+        if any(self.trust[i] > 8 and self._usable(now, i) and self._budget(now, i, visit.track.send_us)
                for i in self.caches):
             return
         parent = self._source(now, visit, -1) if self.rules.may_pass_by else -1
@@ -522,10 +516,9 @@
 
     def _source(self, now: int, visit: Visit, host: int) -> int:
         """The first parent by a hash over all listed, the second where the first may not or runs slow."""
-        send = visit.track.send_us
         good = [i for i in self._orders(visit)[1]
                 if self._usable(now, i) and len(self.out_at[i]) < self.trust[i]
-                and self._budget(now, i, send)][:2]
+                and self._budget(now, i, visit.track.send_us)][:2]
         if len(good) == 2:
             first, second = good
             # Well above its usual, and the second well below it: a crowded link or a slow origin slows both.
@@ -559,8 +552,7 @@
         return sum(work for _, work in window) + send_us <= budget
 
     def _link(self, host: int) -> float:
-        """A host's link in transfers: as told, else the more of its part of the location's link and of what
-        one of its kind has carried, for all dispatchers alike."""
+        """A host's link in transfers: as told, else its part of the location's or what its kind carried."""
         if self.site.links_told:
             return self.units[host]
         part = self.site.link_kb_s / max(1.0, self.site.stream_kb_s)
@@ -571,9 +563,8 @@
 
     def _gate(self, now: int, visit: Visit, host: int, source: int) -> bool:
         """What every shot must pass: drains, cold budgets and the limits on shots."""
-        send = visit.track.send_us
         for i in (host,) if source in (-1, host) else (host, source):
-            if self.states[i] != "up" or not self._budget(now, i, send):
+            if self.states[i] != "up" or not self._budget(now, i, visit.track.send_us):
                 return False
         return self._may_repeat(now, visit, host)
 
@@ -613,6 +604,12 @@
         for host, shots in enumerate(self.out_at):
             if not shots or host == self.origin or now < self.silent_until[host]:
                 continue
+            # A shot far past its goal at a host that answered since was lost, or is worth little: it is taken
+            # back and holds no room. Covers lost messages; wastes what was sent of a huge object.
+            for shot in shots:
+                far = 1.5 * shot.visit.goal_us(shot.visit.send_us())
+                if shot.sent < self.heard[host] and now - shot.sent > far:
+                    self._withdraw(shot)
             # Two, 0.7 s over twice their sending time: pauses are shorter, one large object is no sign.
             parent = host in self.parents
             overdue = [shot for shot in shots if shot.sent > self.heard[host] and shot.sure != parent
@@ -620,7 +617,11 @@
             if len(overdue) < 2 or (parent and max(filling) < overdue[0].sent):
                 continue
             self._doubt(now, host)
-            for shot in shots if self.rules.may_withdraw else ():
-                if not shot.fixed and shot.visit.track.tariff.redo == REDOABLE and not shot.visit.over:
-                    shot.fixed = True
-                    self.outbox.append(Decision("withdraw", shot.visit.id, shot=shot.number))
+            for shot in shots:
+                self._withdraw(shot)
+
+    def _withdraw(self, shot: Shot) -> None:
+        redoable = shot.visit.track.tariff.redo == REDOABLE
+        if self.rules.may_withdraw and redoable and not shot.fixed and not shot.visit.over:
+            shot.fixed = True
+            self.outbox.append(Decision("withdraw", shot.visit.id, shot=shot.number))
