Bound the room for fills where no link is told

Cause: without a told link the room for fills was infinite; 75 to 100 fills were out at once and most came late. Change: 16 to begin with, shared by the location's dispatchers; more while they are used up and come in time, less while late.

--- a/hoistplank/choice.py
+++ b/hoistplank/choice.py
@@ -118,10 +118,12 @@
         self.fills_out, self.wake_at, self.token = 0, 0, 0
         # Fills that fill the location's link at a client's pace, half as many more to keep it busy between
         # them: measured on charge-portal, 1.0 loses 0.05 and 1.3 to 1.7 are alike.
-        self.fill_room = self.full_room = inf
+        # Where no link is told, 16 to begin with, and more while they are used up and come in time.
+        self.fill_room, self.full_room, self.least_room = 16.0 / max(1, site.dispatchers_here), inf, 2.0
         if site.link_kb_s > 0 and site.stream_kb_s > 0:
             share = site.link_kb_s / site.stream_kb_s / max(1, site.dispatchers_here)
             self.fill_room = self.full_room = max(2.0, 1.5 * share)
+            self.least_room = 0.3 * self.full_room
 
     # Inputs: they only update what is known.
 
@@ -209,10 +211,11 @@
                 in_time = result == Result.SUCCEEDED and took <= visit.goal_us(visit.send_us())
                 visit.track.filled(took, visit.send_us(), in_time)
                 # A crowded origin takes longer for each fill, the more are out: fewer come sooner.
-                if in_time:
+                crowded = self.fills_out >= self.fill_room - 2
+                if in_time and (crowded or self.full_room < inf):
                     self.fill_room = min(self.full_room, self.fill_room + 0.3)
-                elif self.fills_out >= self.fill_room - 2:
-                    self.fill_room = max(0.3 * self.full_room, self.fill_room * 0.95)
+                elif crowded and not in_time:
+                    self.fill_room = max(self.least_room, self.fill_room * 0.95)
         herd = visit.herd
         if herd is not None and herd.leader is shot:
             herd.leader = None
@@ -419,11 +422,8 @@
         cold = self.cold_since[host] >= 0 or self.cold_since[source] >= 0
         crowded = visit.old or self.fills_out * 2 >= self.fill_room
         if not known and visit.missed != host and not cold and crowded:
-            if self._gate(now, visit, host, host):
-                self._shoot(now, visit, host, host)
-            return
-        # Fills that come too late hold their room for little: they get the share of it that comes in time,
-        # and one more to find out when that changes.
+            return self._shoot(now, visit, host, host) if self._gate(now, visit, host, host) else None
+        # Fills that come too late get the share of the room that comes in time, and one to find out more.
         full = self.fills_out >= self.fill_room or (
             track.in_time < 0.5 and track.fills_out >= 1 + self.fill_room * track.in_time)
         if (known or not full) and self._gate(now, visit, host, source):
@@ -604,8 +604,7 @@
         for host, shots in enumerate(self.out_at):
             if not shots or host == self.origin or now < self.silent_until[host]:
                 continue
-            # A shot far past its goal at a host that answered since was lost, or is worth little: it is taken
-            # back and holds no room. Covers lost messages; wastes what was sent of a huge object.
+            # Far past its goal at a host that answered since: lost on its way, or late. Harms huge objects.
             for shot in shots:
                 far = 1.5 * shot.visit.goal_us(shot.visit.send_us())
                 if shot.sent < self.heard[host] and now - shot.sent > far:
