--- /dev/null
+++ b/tests/test_benchlink.py
@@ -0,0 +1,51 @@
+"""The adapter: times both ways, a launch and a visit over the wire, plain messages on what is malformed."""
+
+import pytest
+
+from hoistplank.benchlink.codec import WireError, micros, seconds
+from hoistplank.benchlink.hosting import Hosting
+
+LAUNCH = (
+    "LAUNCH dispatcher_id=d/1 salt=7 areas=hub,z1 models=box,parent,origin zone=z1 group_size=1 later.key=x"
+    " classes.count=1 classes.0.name=page classes.0.target=0.3 classes.0.give_up=2.5"
+    " classes.0.semantics=idempotent family_info.second_tier_kind=1 family_info.master_kind=2"
+    " limits.max_attempts=6"
+)
+LIST = [
+    "SHEET buffer=3 members_list=2",
+    "ITEM host=a:1 rack_zone=z1 type=box health=U",
+    "ITEM host=o:1 type=origin",
+    "PEERS_KNOWN dispatcher_id=d/1 form=warm_copy buffer=3",
+    "SHEET buffer=3 members_list=0",
+]
+VISIT = "DEMAND request_id=00ff file=ab lane=page give_up_at=4.5 dispatcher_id=d/1"
+
+
+def play(*lines: str) -> list[str]:
+    return list(Hosting().play(["FRAME moment=2.5", *lines, "COMMIT"]))
+
+
+@pytest.mark.parametrize("text", ["0", "0.000001", "392845.868034", "7.5"])
+def test_times_come_back_as_they_were(text: str) -> None:
+    assert seconds(micros(text, "time")) == text
+
+
+def test_visit_is_answered_from_its_own_list() -> None:
+    reply = play(LAUNCH, *LIST, VISIT)[0].split("\n")
+    shot = "SERVE_VIA dispatcher_id=d/1 request_id=00ff host=a:1 within=2 miss_from=o:1 retain=2"
+    assert reply[0].startswith(shot)
+    assert reply[-2:] == ["DONE", ""]
+
+
+def test_stopped_instance_says_nothing() -> None:
+    assert play(LAUNCH, *LIST, VISIT, "HALT dispatcher_id=d/1") == ["DONE\n"]
+
+
+@pytest.mark.parametrize("line, told", [
+    ("DEMAND request_id=1 lane=page dispatcher_id=d/1", "line 8: DEMAND: field 'give_up_at' is absent"),
+    ("TICK_DUE dispatcher_id=d/1 tag=x", "line 8: TICK_DUE: field 'tag' is no whole number"),
+    ("TICK_DUE tag", "line 8: TICK_DUE: field 'tag' is no name=value pair"),
+])
+def test_malformed_line_is_named(line: str, told: str) -> None:
+    with pytest.raises(WireError, match=told.replace("=", ".")):
+        play(LAUNCH, *LIST, line)
