Count lost hosts as cold and share small cold budgets by lot

Change: signs of loss (hanging shots, lost connections) at one host or several of a cell or zone make these count as cold until the list or an older shot's answer tells better; as many dispatchers as there are transfers in a cold budget get a share, by a lot of their numbers. Hanging shots are taken back in time for another parent.

--- a/hoistplank/benchlink/codec.py
+++ b/hoistplank/benchlink/codec.py
@@ -197,6 +197,7 @@
         rules=rules,
         tariffs=tuple(tariff(facts, i) for i in range(facts.whole("classes.count", 0))),
         zone=zone,
+        number=facts.whole("index", 0),
         dispatchers=group,
         dispatchers_here=int(here[place]) if 0 <= place < len(here) else group,
         link_kb_s=links[place] if 0 <= place < len(links) else 0.0,
--- a/hoistplank/choice.py
+++ b/hoistplank/choice.py
@@ -43,12 +43,14 @@
 
 
 class Shot:
-    __slots__ = ("visit", "number", "host", "source", "sent", "fill", "sure", "fixed")
+    __slots__ = ("visit", "number", "host", "source", "sent", "fill", "sure", "fixed", "hung",
+                 "blamed")
 
     def __init__(self, visit: Visit, host: int, source: int, sent: int, fill: bool, sure: bool):
         self.visit, self.number, self.host, self.source, self.sent = visit, visit.shots, host, source, sent
         self.fill, self.sure = fill, sure  # sure: the cache answers by itself, from a known copy or to a look
         self.fixed = False  # withdrawn already, or streaming to its client
+        self.hung, self.blamed = -1, False  # where it hung, and whether only that parent is slow
 
 
 class Visit:
@@ -57,13 +59,13 @@
     __slots__ = ("id", "track", "thing", "part", "group", "print", "known_us", "latest", "outer", "out",
                  "shots", "over", "ran_at", "ran_host", "missed", "missed_at", "not_before", "herd",
                  "marked", "failed_at", "weight", "orders", "listing", "old",
-                 "again")
+                 "again", "came")
 
     def __init__(self, id: str, track: Track, thing: str, part: int, group: int, outer: int, again: bool):
         self.id, self.track, self.thing, self.part, self.group = id, track, thing, part, group
         self.print = (thing, part, track.tariff.name)
         self.known_us, self.outer, self.latest, self.ran_at, self.ran_host = 0.0, outer, outer, -1, -1
-        self.shots, self.over = 0, False
+        self.shots, self.over, self.came = 0, False, 0
         self.missed, self.missed_at, self.not_before, self.marked = -1, 0, 0, False
         self.herd: Herd | None = None
         self.out, self.failed_at = dict[int, Shot](), list[int]()
@@ -102,7 +104,7 @@
         self.names, self.zones, self.states = (list[str]() for _ in range(3))
         self.salts, self.cells, self.started, self.life, self.cold_since = (list[int]() for _ in range(5))
         self.heard, self.silent_until, self.silences, self.losses = (list[int]() for _ in range(4))
-        self.fills, self.felt, self.carried_at = (list[int]() for _ in range(3))
+        self.fills, self.felt, self.carried_at, self.lost_at, self.suspected = (list[int]() for _ in range(5))
         self.units, self.room, self.most, self.carry = (list[float]() for _ in range(4))
         self.trust, self.usual, self.lately = (list[float]() for _ in range(3))
         self.spent: list[deque[tuple[int, float]]] = []
@@ -112,6 +114,8 @@
         self.herds: OrderedDict[tuple[str, int, str], Herd] = OrderedDict()
         self.floors: OrderedDict[str | int, int] = OrderedDict()
         self.ledger: dict[str, Visit] = {}
+        self.shots: dict[Shot, None] = {}
+        self.filled_at = 0
         self.waiting: dict[str, Visit] = {}
         self.outbox: deque[Decision] = deque()
         self.stirred, self.asking = False, False
@@ -149,7 +153,7 @@
                 words.append(word)
             self.salts.append(_mix(entry.host))
             for row in (self.cells, self.started, self.life, self.silent_until, self.silences, self.losses,
-                        self.fills, self.felt):
+                        self.fills, self.felt, self.lost_at, self.suspected):
                 row.append(0)
             for ratio in (self.carry, self.usual, self.lately):
                 ratio.append(0.0)
@@ -170,6 +174,7 @@
         if entry.state == "up" and (self.states[i] == "gone" or entry.started_us != self.started[i]):
             self.life[i] += 1
             self.silent_until[i], self.silences[i], self.trust[i] = 0, 0, inf
+            self.losses[i] = self.suspected[i] = 0
             since = entry.started_us if entry.started_us > 0 else (now if self.listed_once else -1)
             long = self.rules.parent_cold_us if entry.kind == self.site.parent_kind else self.rules.cold_us
             self.cold_since[i] = since if since >= 0 and now - since < long else -1
@@ -184,6 +189,7 @@
                    until: int, again: bool) -> None:
         row = self.tracks[track]
         visit = Visit(id, row, thing, part, group, until, again)
+        visit.came = now
         if kb > 0 and self.site.stream_kb_s > 0:
             visit.known_us = kb / self.site.stream_kb_s * 1e6
             row.saw(visit.known_us)
@@ -202,12 +208,14 @@
             return
         self.stirred = True
         self.out_at[shot.host].pop(shot, None)
+        self.shots.pop(shot, None)
         if shot.source >= 0:
             self.out_at[shot.source].pop(shot, None)
         if shot.fill:
             self.fills_out -= 1
             visit.track.fills_out -= 1
-            if note != Note.HIT and result in (Result.SUCCEEDED, Result.LATE, Result.WITHDRAWN):
+            timed = result in (Result.SUCCEEDED, Result.LATE, Result.WITHDRAWN) and not shot.blamed
+            if note != Note.HIT and timed:
                 in_time = result == Result.SUCCEEDED and took <= visit.goal_us(visit.send_us())
                 visit.track.filled(took, visit.send_us(), in_time)
                 # A crowded origin takes longer for each fill, the more are out: fewer come sooner.
@@ -229,7 +237,7 @@
             visit.missed, visit.missed_at = shot.host, now
         elif result in (Result.FULL, Result.NO_CONNECTION, Result.LATE, Result.WITHDRAWN) and (
                 note not in SOURCE_FAILED):
-            visit.failed_at.append(shot.host)
+            visit.failed_at.append(shot.host if shot.hung < 0 else shot.hung)
             if result == Result.FULL:
                 # What turned us away is crowded: come back a little later each time, spread by chance.
                 visit.not_before = now + int(20_000 * 2 ** min(visit.shots, 4) * (0.5 + self.chance()))
@@ -239,26 +247,20 @@
                note: int) -> None:
         host, source, track = shot.host, shot.source, visit.track
         if result in SPOKE:
-            self._heard(now, host)
+            self._heard(now, host, shot.sent)
         elif result in (Result.NO_CONNECTION, Result.BROKEN):
-            # Connections lost one after another with no answer between tell of a process that went away, and
-            # may be back any moment, cold and empty, before the list says so: deploys, crashes, vanished
-            # hosts. Single resets on a bad line don't. Where only its table of connections was full, a host
-            # gets less than it could for its cold time.
-            self.losses[host] += 2 if result == Result.NO_CONNECTION else 1
-            if self.losses[host] >= 3:
-                self._doubt(now, host)
-                self.life[host] += 1
-                if host not in self.parents and host != self.origin:
-                    self.cold_since[host] = now
+            # Where only its table of connections was full, a host gets less than it could for its cold time.
+            self._lost(now, host, 2 if result == Result.NO_CONNECTION else 1, shot.sent)
         if source in self.parents and source != host:
             unreached = result == Result.FULL and 0 < self.rules.connect_us <= took + 50_000
             if note == Note.SOURCE_LOST or (not self.site.notes_all and shot.fill and unreached):
                 # Unreachable from where the cache stands: a dead or cut-off parent. The second takes over.
                 # Without notes a refusal counts only if it took as long as a failed connection does.
+                self._lost(now, source, 2, shot.sent)
                 self._doubt(now, source)
             elif note in (Note.FILLED, Note.FROM_ORIGIN, Note.SOURCE_REFUSED):
-                self._heard(now, source)
+                self._heard(now, source, shot.sent)
+                self.filled_at = now
         if result != Result.SUCCEEDED or track.tariff.uncached or note == Note.OLD:
             return
         for i in (host,) if shot.sure or source < 0 else (host, source):
@@ -286,10 +288,37 @@
             self.usual[source] += (slowed - self.usual[source]) / min(50, self.fills[source])
             self.lately[source] += (slowed - self.lately[source]) / min(5, self.fills[source])
 
-    def _heard(self, now: int, host: int) -> None:
+    def _heard(self, now: int, host: int, sent: int) -> None:
         self.heard[host], self.silences[host], self.losses[host] = now, 0, 0
         # Back from doubt: half a shot more at a time, in case it came back cold; 16 are more than usual.
         self.trust[host] = self.trust[host] + 0.5 if self.trust[host] < 16 else inf
+        if sent < self.suspected[host]:
+            # What it was sent before outlived the silence: it stood still and did not start anew.
+            self.silent_until[host], self.suspected[host], self.cold_since[host] = 0, 0, -1
+            self.trust[host] = inf
+
+    def _lost(self, now: int, host: int, signs: int, sent: int) -> None:
+        """Signs of processes that went away, and may be back, cold and empty, before the list says so.
+
+        Shots that hang, lost connections: a few at one host or at several of its cell or zone, with no answer
+        from them since, make all of those cold till the list or an older shot's answer tells better. Covers
+        restarts by cell or zone, deploys, crashes, vanished hosts; harms what only hangs, by a cold time.
+        """
+        tier = self.parents if host in self.parents else self.caches
+        if host == self.origin:
+            return
+        self.losses[host] += signs
+        self.lost_at[host] = now
+        beside = [i for i in tier if self.zones[i] == self.zones[host]]
+        struck = [i for i in beside if self.losses[i] and now - self.lost_at[i] < 4_000_000]
+        cells = {self.cells[i] for i in struck}
+        if sum(self.losses[i] for i in struck) < 3:
+            return
+        for i in beside:
+            if i in struck or ((len(cells) > 1 or self.cells[i] in cells) and self.heard[i] < sent):
+                self.life[i] += 1
+                if self.cold_since[i] < 0 or self.suspected[i]:
+                    self.cold_since[i] = self.suspected[i] = now
 
     def _doubt(self, now: int, host: int) -> None:
         """A host that may be gone rests, longer each time, and is then felt out by one shot."""
@@ -351,7 +380,7 @@
                 if (visit.missed < 0 or now > visit.latest or self.fills_out < self.fill_room or herd is None
                         or herd.leader is not None or herd.seen > visit.missed_at):
                     self._place(now, visit)
-        wait = 20_000 if self.waiting else 100_000  # held visits wait 20 ms too long at most
+        wait = 20_000 if self.waiting else 50_000  # held visits wait 20 ms too long at most
         if self.ledger and (not self.wake_at or self.wake_at > now + wait):
             self.wake_at, self.token = now + wait, self.token + 1
             self.outbox.append(Decision("wake", token=self.token, wait_us=wait))
@@ -427,7 +456,8 @@
         full = self.fills_out >= self.fill_room or (
             track.in_time < 0.5 and track.fills_out >= 1 + self.fill_room * track.in_time)
         if (known or not full) and self._gate(now, visit, host, source):
-            self._shoot(now, visit, host, source, fill=not known, join=self.site.joins, sure=known)
+            self._shoot(now, visit, host, source, fill=not known, sure=known,
+                        join=self.site.joins and not visit.failed_at)
 
     def _pass_by(self, now: int, visit: Visit) -> None:
         """Where all caches are gone, silent or out of a cold host's budget, visits go straight to a parent.
@@ -517,7 +547,7 @@
     def _source(self, now: int, visit: Visit, host: int) -> int:
         """The first parent by a hash over all listed, the second where the first may not or runs slow."""
         good = [i for i in self._orders(visit)[1]
-                if self._usable(now, i) and len(self.out_at[i]) < self.trust[i]
+                if self._usable(now, i) and len(self.out_at[i]) < self.trust[i] and i not in visit.failed_at
                 and self._budget(now, i, visit.track.send_us)][:2]
         if len(good) == 2:
             first, second = good
@@ -542,14 +572,21 @@
             self.spent[host].clear()
             return True
         least = rules.parent_cold_from if parent else rules.cold_from
-        share = self.site.dispatchers if parent else max(1, self.site.dispatchers_here)
+        sharers = max(1, self.site.dispatchers if parent else self.site.dispatchers_here)
         window = self.spent[host]
         while window and window[0][0] <= now - rules.tip_us:
             window.popleft()
         can = least + (1 - least) * max(0, now - rules.tip_us - since) / long
         multiple = rules.parent_tip_multiple if parent else rules.tip_multiple
-        budget = 0.7 * multiple * self._link(host) * can * rules.tip_us / share
-        return sum(work for _, work in window) + send_us <= budget
+        budget = 0.7 * multiple * self._link(host) * can * rules.tip_us
+        # Where a dispatcher's share holds no transfer, as many have one as there are transfers: a lot by their
+        # numbers, so evenly spread that it also holds within a location, however they are numbered there.
+        dearest = max([row.send_us for row in self.tracks.values() if not row.tariff.uncached], default=1.0)
+        shares = min(sharers, budget // max(1.0, dearest))
+        lot = (self.site.number * 0.6180339887 + self.salts[host] / 2**64) % 1.0
+        if shares < 1 or lot * sharers >= shares:
+            return False
+        return sum(work for _, work in window) + send_us <= budget / shares
 
     def _link(self, host: int) -> float:
         """A host's link in transfers: as told, else its part of the location's or what its kind carried."""
@@ -557,9 +594,11 @@
             return self.units[host]
         part = self.site.link_kb_s / max(1.0, self.site.stream_kb_s)
         if host in self.parents:
-            return max(1.0, part, self.site.dispatchers * max(self.carry[i] for i in self.parents))
-        carried = max(self.carry[i] for i in self.caches) * max(1, self.site.dispatchers_here)
-        return max(1.0, part / len(self.caches), carried)
+            tier, sharers = self.parents, self.site.dispatchers
+        else:
+            tier, sharers, part = self.caches, self.site.dispatchers_here, part / len(self.caches)
+        # The mean, not the most: of few visits the most is mostly chance, and a multiple of what is carried.
+        return max(1.0, part, sharers * sum(self.carry[i] for i in tier) / len(tier))
 
     def _gate(self, now: int, visit: Visit, host: int, source: int) -> bool:
         """What every shot must pass: drains, cold budgets and the limits on shots."""
@@ -574,7 +613,7 @@
         visit.out[visit.shots] = shot
         visit.shots += 1
         self.waiting.pop(visit.id, None)
-        self.out_at[host][shot] = None
+        self.out_at[host][shot] = self.shots[shot] = None
         if source >= 0 and not shot.sure:
             self.out_at[source][shot] = None
         for i in (host,) if source in (-1, host) else (host, source):
@@ -595,28 +634,35 @@
             within_us=max(1, visit.outer - now), keep=2, oldest_us=oldest, join=join, shot=shot.number))
 
     def _find_silent(self, now: int) -> None:
-        """A host that ends none of its shots while several are overdue rests, and its shots go elsewhere.
+        """Takes back shots that hang, in time for another way, and rests the host that they hang at.
 
-        A cache is judged by what it answers alone; a parent by its fills, and only while others fill: a slow
-        origin delays all. Covers hangs, vanished hosts, cut links; harms where many objects are huge.
+        A fill that hangs is its parent's doing only where others have filled since: a slow origin delays all.
+        One shot is enough: a dispatcher of many seldom has two at one host. Covers hangs, vanished hosts, cut
+        links, lost messages; harms where many objects are huge, and doubles fills that are merely late.
         """
-        filling = [self.heard[i] for i in self.parents]
-        for host, shots in enumerate(self.out_at):
-            if not shots or host == self.origin or now < self.silent_until[host]:
+        for shot in list(self.shots):
+            visit, out = shot.visit, now - shot.sent
+            host = shot.source if shot.fill and shot.source in self.parents else shot.host
+            send = visit.send_us()
+            goal = visit.goal_us(send)
+            if host == self.origin or shot.fixed:
                 continue
-            # Far past its goal at a host that answered since: lost on its way, or late. Harms huge objects.
-            for shot in shots:
-                far = 1.5 * shot.visit.goal_us(shot.visit.send_us())
-                if shot.sent < self.heard[host] and now - shot.sent > far:
-                    self._withdraw(shot)
-            # Two, 0.7 s over twice their sending time: pauses are shorter, one large object is no sign.
             parent = host in self.parents
-            overdue = [shot for shot in shots if shot.sent > self.heard[host] and shot.sure != parent
-                       and now - shot.sent > 700_000 + 2 * shot.visit.send_us()]
-            if len(overdue) < 2 or (parent and max(filling) < overdue[0].sent):
-                continue
-            self._doubt(now, host)
-            for shot in shots:
+            quiet = self.heard[host] < shot.sent and (not parent or self.filled_at >= shot.sent)
+            # The last moment for another shot to be in time: two looks at the clock and a fill's way more.
+            late = now > visit.came + goal - send - 100_000
+            again = quiet and late and out > 2 * (send + visit.track.wait_us)
+            # 0.7 s over twice its sending time: pauses are shorter, one large object is no sign.
+            # Far past its goal: lost on its way, or late. Harms huge objects.
+            overdue = quiet and out > 700_000 + 2 * send
+            if again or overdue or out > 1.5 * goal:
+                shot.hung = host
+                if quiet:
+                    self._lost(now, host, 2, shot.sent)
+                    self._doubt(now, host)
+                    shot.blamed = parent
+                if again and now < visit.came + goal - send:
+                    visit.latest = min(visit.outer - 100_000, max(visit.latest, now + 20_000))
                 self._withdraw(shot)
 
     def _withdraw(self, shot: Shot) -> None:
--- a/hoistplank/interface.py
+++ b/hoistplank/interface.py
@@ -84,6 +84,7 @@
     rules: HouseRules
     tariffs: tuple[Tariff, ...]
     zone: str
+    number: int
     dispatchers: int
     dispatchers_here: int
     link_kb_s: float
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -17,8 +17,8 @@
     replace(VIDEO, name="mark", redo="labelled", redo_group="all", redo_window_us=3_000_000, uncached=True),
     replace(VIDEO, name="zoned", redo="labelled", redo_group="zone", redo_window_us=3_000_000, uncached=True),
 )
-SITE = Site(RULES, TRACKS, "z1", 2, 1, 60_000.0, 10_000.0, True, True, True, "none", "parent", "origin", (),
-            False, 2_000)
+SITE = Site(RULES, TRACKS, "z1", 0, 2, 1, 60_000.0, 10_000.0, True, True, True, "none", "parent", "origin",
+            (), False, 2_000)
 RESULTS = {name.lower(): value for name, value in vars(Result).items() if name.isupper()}
 
 
