--- a/hoistplank/choice.py
+++ b/hoistplank/choice.py
@@ -579,9 +579,9 @@
         can = least + (1 - least) * max(0, now - rules.tip_us - since) / long
         multiple = rules.parent_tip_multiple if parent else rules.tip_multiple
         budget = 0.7 * multiple * self._link(host) * can * rules.tip_us
-        # Where a dispatcher's share holds no transfer, as many have one as there are transfers: a lot by their
-        # numbers, so evenly spread that it also holds within a location, however they are numbered there.
-        dearest = max([row.send_us for row in self.tracks.values() if not row.tariff.uncached], default=1.0)
+        # Where a dispatcher's share holds no transfer, as many have one as there are transfers: a lot by
+        # their numbers, spread so evenly that it also holds within a location, however it is numbered.
+        dearest = max(0.0 if row.tariff.uncached else row.send_us for row in self.tracks.values())
         shares = min(sharers, budget // max(1.0, dearest))
         lot = (self.site.number * 0.6180339887 + self.salts[host] / 2**64) % 1.0
         if shares < 1 or lot * sharers >= shares:
@@ -658,7 +658,8 @@
             if again or overdue or out > 1.5 * goal:
                 shot.hung = host
                 if quiet:
-                    self._lost(now, host, 2, shot.sent)
+                    if not parent:  # a parent that is gone fails its caches' connections: a clearer sign
+                        self._lost(now, host, 2, shot.sent)
                     self._doubt(now, host)
                     shot.blamed = parent
                 if again and now < visit.came + goal - send:
