--- a/hoistplank/choice.py
+++ b/hoistplank/choice.py
@@ -648,10 +648,11 @@
             if host == self.origin or shot.fixed:
                 continue
             parent = host in self.parents
-            quiet = self.heard[host] < shot.sent and (not parent or self.filled_at >= shot.sent)
+            unheard = self.heard[host] < shot.sent
+            quiet = unheard and (not parent or self.filled_at >= shot.sent)
             # The last moment for another shot to be in time: two looks at the clock and a fill's way more.
             late = now > visit.came + goal - send - 100_000
-            again = quiet and late and out > 2 * (send + visit.track.wait_us)
+            again = unheard and late and out > 2 * (send + visit.track.wait_us)
             # 0.7 s over twice its sending time: pauses are shorter, one large object is no sign.
             # Far past its goal: lost on its way, or late. Harms huge objects.
             overdue = quiet and out > 700_000 + 2 * send
