A hanging shot is taken back while another can be in time; its parent rests 1 s

Now the last moment at which another shot can be in time takes it back once, and a parent at which a fill hangs rests 1 to 8 s.

--- a/hoistplank/choice.py
+++ b/hoistplank/choice.py
@@ -320,12 +320,12 @@
                 if self.cold_since[i] < 0 or self.suspected[i]:
                     self.cold_since[i] = self.suspected[i] = now
 
-    def _doubt(self, now: int, host: int) -> None:
+    def _doubt(self, now: int, host: int, steps: int = 1) -> None:
         """A host that may be gone rests, longer each time, and is then felt out by one shot."""
         if host == self.origin or now < self.silent_until[host]:
             return
-        self.silences[host] = min(self.silences[host] + 1, 5)
-        self.silent_until[host] = now + 125_000 * 2 ** self.silences[host]  # 0.25 s, then doubling to 4 s
+        self.silences[host] = min(max(self.silences[host] + 1, steps), 6)
+        self.silent_until[host] = now + 125_000 * 2 ** self.silences[host]  # 0.25 s, doubling to 8 s
         self.trust[host] = 1.0
 
     def stream_began(self, now: int, id: str, number: int) -> None:
@@ -651,19 +651,20 @@
             unheard = self.heard[host] < shot.sent
             quiet = unheard and (not parent or self.filled_at >= shot.sent)
             # The last moment for another shot to be in time: two looks at the clock and a fill's way more.
-            late = now > visit.came + goal - send - 100_000
-            again = unheard and late and out > 2 * (send + visit.track.wait_us)
+            left = visit.came + goal - send - now
+            again = unheard and 0 < left < 100_000 and out > 2 * (send + visit.track.wait_us)
             # 0.7 s over twice its sending time: pauses are shorter, one large object is no sign.
             # Far past its goal: lost on its way, or late. Harms huge objects.
             overdue = quiet and out > 700_000 + 2 * send
             if again or overdue or out > 1.5 * goal:
                 shot.hung = host
                 if quiet:
+                    shot.blamed = parent
                     if not parent:  # a parent that is gone fails its caches' connections: a clearer sign
                         self._lost(now, host, 2, shot.sent)
-                    self._doubt(now, host)
-                    shot.blamed = parent
-                if again and now < visit.came + goal - send:
+                    # Of a parent a dispatcher of many has few fills: 1 s at least, lest each test costs one.
+                    self._doubt(now, host, 3 if parent else 1)
+                if again:
                     visit.latest = min(visit.outer - 100_000, max(visit.latest, now + 20_000))
                 self._withdraw(shot)
 
