The room at a crowded cache may shrink to one shot a dispatcher, faster where small

Covers overload and slowing caches; harms by a second copy elsewhere when a cache is only briefly slow.

--- a/hoistplank/choice.py
+++ b/hoistplank/choice.py
@@ -277,7 +277,7 @@
             if not visit.known_us:
                 track.saw(took)
             elif took > 2 * visit.known_us + 10_000:
-                self.room[host] = max(2.0, self.room[host] * 0.97)
+                self.room[host] = max(1.0, self.room[host] * (0.97 if self.room[host] > 4 else 0.9))
             elif took < 1.4 * visit.known_us + 5_000 and len(self.out_at[host]) >= self.room[host] - 2:
                 self.room[host] = min(self.most[host], self.room[host] + 0.3)
         elif note in (Note.FILLED, Note.FROM_ORIGIN) and source in self.parents:
