--- a/hoistplank/choice.py
+++ b/hoistplank/choice.py
@@ -119,6 +119,7 @@
         self.waiting: dict[str, Visit] = {}
         self.outbox: deque[Decision] = deque()
         self.stirred, self.asking = False, False
+        self.link_full, self.link_at = 1.5, -1_000_000
         self.fills_out, self.wake_at, self.token = 0, 0, 0
         # Fills that fill the location's link at a client's pace, half as many more to keep it busy between
         # them: measured on charge-portal, 1.0 loses 0.05 and 1.3 to 1.7 are alike.
@@ -227,6 +228,8 @@
         herd = visit.herd
         if herd is not None and herd.leader is shot:
             herd.leader = None
+        if shot.host in self.caches:
+            self._reported(now, report)
         self._learn(now, visit, shot, result, took, waited, note)
         if visit.over or closed:
             self._close(visit)
@@ -342,6 +345,20 @@
         name = thing or group
         self.floors[name] = max(self.floors.get(name, 0), now - age)
 
+    def _reported(self, now: int, report: list[float]) -> None:
+        if len(report) == len(self.site.report_fields) and "link_full" in self.site.report_fields:
+            full = report[self.site.report_fields.index("link_full")]
+            self.link_full = (full + self.link_full) / 2 if now - self.link_at < 1_000_000 else full
+            self.link_at = now
+
+    def _room_left(self, now: int) -> bool:
+        """Whether the location's link has room for one more fill from here.
+
+        Where reports tell how full it is, the room opens and closes with them, about the 1.5 it is laid out for.
+        """
+        told = now - self.link_at < 1_000_000
+        return self.fills_out < self.fill_room * (max(1.0, min(3.0, 1.5 / max(0.1, self.link_full))) if told else 1.0)
+
     def probe_answered(self, now: int, host: str, good: bool, took: int, report: list[float]) -> None:
         """Nothing is asked: no decision here has needed what a probe costs."""
 
@@ -377,7 +394,7 @@
                 visit.weight = (visit.send_us() + row.wait_us) / earns
             for visit in sorted(self.waiting.values(), key=attrgetter("weight")):
                 herd = visit.herd
-                if (visit.missed < 0 or now > visit.latest or self.fills_out < self.fill_room or herd is None
+                if (visit.missed < 0 or now > visit.latest or self._room_left(now) or herd is None
                         or herd.leader is not None or herd.seen > visit.missed_at):
                     self._place(now, visit)
         wait = 20_000 if self.waiting else 50_000  # held visits wait 20 ms too long at most
@@ -453,7 +470,7 @@
         if not known and visit.missed != host and not cold and crowded:
             return self._shoot(now, visit, host, host) if self._gate(now, visit, host, host) else None
         # Fills that come too late get the share of the room that comes in time, and one to find out more.
-        full = self.fills_out >= self.fill_room or (
+        full = not self._room_left(now) or (
             track.in_time < 0.5 and track.fills_out >= 1 + self.fill_room * track.in_time)
         if (known or not full) and self._gate(now, visit, host, source):
             self._shoot(now, visit, host, source, fill=not known, sure=known,
@@ -470,7 +487,7 @@
             return
         parent = self._source(now, visit, -1) if self.rules.may_pass_by else -1
         origin = self.origin if self.origin >= 0 and self.states[self.origin] == "up" else parent
-        if parent >= 0 and self.fills_out < self.fill_room and self._gate(now, visit, parent, origin):
+        if parent >= 0 and self._room_left(now) and self._gate(now, visit, parent, origin):
             self._shoot(now, visit, parent, origin, fill=True)
         elif parent < 0 and not any(self.states[i] == "up" for i in self.caches):
             self._finish(visit)
