--- a/hoistplank/choice.py
+++ b/hoistplank/choice.py
@@ -341,8 +341,8 @@
     def _room_left(self, now: int) -> bool:
         """Whether the location's link has room for one more fill from here.
 
-        Answers that tell of a link below the 1.5 that the room is laid out for open it, but not while it may be
-        parents or the origin that are short. Harms where reports are long out of date.
+        Answers that tell of a link below the 1.5 that the room is laid out for open it, but not while parents
+        or the origin may be short. Harms where reports are long out of date.
         """
         if self.fills_out < self.fill_room:
             return True
@@ -556,8 +556,9 @@
     def _source(self, now: int, visit: Visit, host: int) -> int:
         """The first parent by a hash over all listed, the second where the first may not or runs slow."""
         good = [i for i in self._orders(visit)[1]
-                if self._usable(now, i) and len(self.out_at[i]) < self.trust[i] and i not in visit.failed_at
-                and self._budget(now, i, visit.track.send_us)][:2]
+                if self._usable(now, i) and len(self.out_at[i]) < self.trust[i]
+                and self._budget(now, i, visit.track.send_us)]
+        good = ([i for i in good if i not in visit.failed_at] or good)[:2]
         if len(good) == 2:
             first, second = good
             # Well above its usual, and the second well below it: a crowded link or a slow origin slows both.
