--- a/hoistplank/choice.py
+++ b/hoistplank/choice.py
@@ -1,9 +1,8 @@
 """Every decision of the router. Its interface is in hoistplank/interface.py, the design in docs/design.md.
 
-How to call it: make a Router from a Site and a seed; report what happens through the input methods
-(hosts_listed, visit_came, shot_ended, stream_began, client_left, purged, probe_answered, timer_due), which
-only update what is known; then call next_decision(now) until it answers None, and carry out each answer in
-that order. All times are whole microseconds of the caller's clock; the module knows no clock and no wire.
+How to call it: make a Router from a Site and a seed; report what happens through the input methods (from
+hosts_listed to timer_due), which only update what is known; then call next_decision(now) until it answers
+None, and carry out each answer in order. Times are whole microseconds; the module knows no clock, no wire.
 """
 
 from __future__ import annotations
@@ -11,7 +10,6 @@
 from collections import OrderedDict, deque
 from hashlib import blake2b
 from math import exp, inf, log
-from operator import attrgetter
 from random import Random
 
 from hoistplank.interface import IRREVERSIBLE, REDOABLE, Decision, HostEntry, Note, Result, Site, Tariff
@@ -31,11 +29,6 @@
         self.wait_us, self.in_time, self.fills_out = 0.0, 1.0, 0
         self.send_us = float(tariff.goal_us)  # till some are seen: goals lie above it
 
-    def filled(self, took: int, send_us: float, in_time: bool) -> None:
-        # 1 in 12: about a second's fills of a busy track, so a slow origin and its end both show soon.
-        self.wait_us += (max(0.0, took - send_us) - self.wait_us) * 0.08
-        self.in_time += (in_time - self.in_time) * 0.08
-
     def saw(self, send_us: float) -> None:
         self.send_us += (send_us - self.send_us) * 0.02  # 1 in 50: sizes vary widely, their mean hardly moves
 
@@ -45,7 +38,6 @@
         self.visit, self.number, self.host, self.source, self.sent = visit, visit.shots, host, source, sent
         self.fill, self.sure = fill, sure  # sure: the cache answers by itself, from a known copy or to a look
         self.fixed = False  # withdrawn already, or streaming to its client
-        self.hung, self.blamed = -1, False  # where it hung, and whether only that parent is slow
 
 
 class Visit:
@@ -55,11 +47,11 @@
         self.id, self.track, self.thing, self.part, self.group = id, track, thing, part, group
         self.print = (thing, part, track.tariff.name)
         self.known_us, self.outer, self.latest, self.ran_at, self.ran_host = 0.0, outer, outer, -1, -1
-        self.shots, self.over, self.came = 0, False, 0
+        self.shots, self.over = 0, False
         self.missed, self.missed_at, self.not_before, self.marked = -1, 0, 0, False
         self.herd: Herd | None = None
         self.out, self.failed_at = dict[int, Shot](), list[int]()
-        self.weight, self.listing, self.old, self.again = 0.0, -1, False, again
+        self.listing, self.old, self.again = -1, False, again
         self.orders: tuple[list[int], list[int]] = ([], [])
 
     def send_us(self) -> float:
@@ -90,27 +82,23 @@
         self.chance = Random(seed).random
         self.tracks = {tariff.name: Track(tariff) for tariff in site.tariffs}
         # Cache hosts: parallel arrays under a dense index that a host keeps for good.
-        self.index: dict[str, int] = {}
-        self.names, self.zones, self.states = (list[str]() for _ in range(3))
+        self.index = dict[str, int]()
+        self.names, self.zones, self.states = list[str](), list[str](), list[str]()
         self.salts, self.cells, self.started, self.life, self.cold_since = (list[int]() for _ in range(5))
         self.heard, self.silent_until, self.silences, self.losses = (list[int]() for _ in range(4))
         self.fills, self.felt, self.carried_at, self.lost_at, self.suspected = (list[int]() for _ in range(5))
         self.units, self.room, self.most, self.carry = (list[float]() for _ in range(4))
         self.trust, self.usual, self.lately = (list[float]() for _ in range(3))
-        self.spent: list[deque[tuple[int, float]]] = []
-        self.out_at: list[dict[Shot, None]] = []
+        self.spent, self.out_at = list[deque[tuple[int, float]]](), list[dict[Shot, None]]()
         self.caches, self.parents, self.origin = list[int](), list[int](), -1
         self.listed_once, self.listing, self.silence_check = False, 0, 0
-        self.herds: OrderedDict[tuple[str, int, str], Herd] = OrderedDict()
-        self.floors: OrderedDict[str | int, int] = OrderedDict()
+        self.herds, self.floors = OrderedDict[tuple[str, int, str], Herd](), OrderedDict[str | int, int]()
         self.ledger, self.waiting, self.shots = dict[str, Visit](), dict[str, Visit](), dict[Shot, None]()
-        self.outbox: deque[Decision] = deque()
-        self.stirred, self.asking = False, False
+        self.outbox, self.stirred, self.asking = deque[Decision](), False, False
         self.link_full, self.link_at, self.filled_at = 1.5, -1_000_000, 0
         self.fills_out, self.wake_at, self.token = 0, 0, 0
-        # Fills that fill the location's link at a client's pace, half as many more to keep it busy between
-        # them: measured on charge-portal, 1.0 loses 0.05 and 1.3 to 1.7 are alike.
-        # Where no link is told, 16 to begin with, and more while they are used up and come in time.
+        # Fills that fill the location's link at a client's pace, and half as many more to keep it busy: 1.0
+        # loses 0.05 on one deployment, 1.3 to 1.7 are alike. No link told: 16 at first.
         self.fill_room, self.full_room, self.least_room = 16.0 / max(1, site.dispatchers_here), inf, 2.0
         if site.link_kb_s > 0 and site.stream_kb_s > 0:
             share = site.link_kb_s / site.stream_kb_s / max(1, site.dispatchers_here)
@@ -130,27 +118,24 @@
         for host, i in self.index.items():
             if form != "changes" and host not in named:
                 self.states[i] = "gone"
-        self.listed_once = True
-        self.listing += 1
+        self.listed_once, self.listing = True, self.listing + 1
 
     def _list(self, now: int, entry: HostEntry) -> None:
         i = self.index.get(entry.host, -1)
         if i < 0:
             i = self.index[entry.host] = len(self.names)
+            # Where no link is told, 8 to begin with, shared: 6 to 8 are alike, 12 loses 0.02.
+            room = inf if self.site.links_told else max(2.0, 8.0 / max(1, self.site.dispatchers_here))
+            figures = (self.cells, self.started, self.life, self.silent_until, self.silences, self.losses,
+                       self.felt, self.fills, self.lost_at, self.suspected, self.carry, self.usual,
+                       self.lately)
             for words, word in ((self.names, entry.host), (self.zones, ""), (self.states, "gone")):
                 words.append(word)
             self.salts.append(_mix(entry.host))
-            for row in (self.cells, self.started, self.life, self.silent_until, self.silences, self.losses,
-                        self.fills, self.felt, self.lost_at, self.suspected):
-                row.append(0)
-            for ratio in (self.carry, self.usual, self.lately):
-                ratio.append(0.0)
-            # Where no link is told, 8 to begin with, shared: 6 to 8 are alike, 12 loses 0.02 on screen-media.
-            room = inf if self.site.links_told else max(2.0, 8.0 / max(1, self.site.dispatchers_here))
-            for figures, first in ((self.units, 1.0), (self.room, room), (self.most, inf), (self.trust, inf)):
-                figures.append(first)
-            for times, first_at in ((self.cold_since, -1), (self.heard, now), (self.carried_at, now)):
-                times.append(first_at)  # cold_since is -1 where warm
+            for rows, first in ((figures, 0), ((self.cold_since,), -1), ((self.heard, self.carried_at), now),
+                                ((self.units,), 1), ((self.room,), room), ((self.most, self.trust), inf)):
+                for row in rows:
+                    row.append(first)  # type: ignore[arg-type]
             self.spent.append(deque())
             self.out_at.append({})
             if entry.kind == self.site.origin_kind:
@@ -163,9 +148,7 @@
             self.life[i] += 1
             self.silent_until[i], self.silences[i], self.trust[i] = 0, 0, inf
             self.losses[i] = self.suspected[i] = 0
-            since = entry.started_us if entry.started_us > 0 else (now if self.listed_once else -1)
-            long = self.rules.parent_cold_us if entry.kind == self.site.parent_kind else self.rules.cold_us
-            self.cold_since[i] = since if since >= 0 and now - since < long else -1
+            self.cold_since[i] = entry.started_us or (now if self.listed_once else -1)  # old times soon lapse
         self.zones[i], self.cells[i], self.started[i] = entry.zone, entry.cell, entry.started_us
         self.units[i], self.states[i] = entry.units, entry.state
         if self.site.links_told and entry.units > 0:
@@ -177,7 +160,6 @@
                    until: int, again: bool) -> None:
         row = self.tracks[track]
         visit = Visit(id, row, thing, part, group, until, again)
-        visit.came = now
         if kb > 0 and self.site.stream_kb_s > 0:
             visit.known_us = kb / self.site.stream_kb_s * 1e6
             row.saw(visit.known_us)
@@ -195,46 +177,43 @@
         if visit is None or shot is None:
             return
         self.stirred = True
-        self.out_at[shot.host].pop(shot, None)
-        self.shots.pop(shot, None)
-        if shot.source >= 0:
-            self.out_at[shot.source].pop(shot, None)
+        for out in (self.shots, self.out_at[shot.host], self.out_at[shot.source]):
+            out.pop(shot, None)
         if shot.fill:
             self.fills_out -= 1
             visit.track.fills_out -= 1
-            timed = result in (Result.SUCCEEDED, Result.LATE, Result.WITHDRAWN) and not shot.blamed
-            if note != Note.HIT and timed:
-                in_time = result == Result.SUCCEEDED and took <= visit.goal_us(visit.send_us())
-                visit.track.filled(took, visit.send_us(), in_time)
+            row, succeeded = visit.track, result == Result.SUCCEEDED
+            blamed = result == Result.WITHDRAWN and now < self.silent_until[shot.source]  # on it alone
+            if note != Note.HIT and not blamed and (succeeded or result in (Result.LATE, Result.WITHDRAWN)):
+                in_time = succeeded and took <= visit.goal_us(visit.send_us())
+                # 1 in 12: about a second's fills of a busy track: a slow origin and its end both show soon.
+                row.wait_us += (max(0.0, took - visit.send_us()) - row.wait_us) * 0.08
+                row.in_time += (in_time - row.in_time) * 0.08
                 # A crowded origin takes longer for each fill, the more are out: fewer come sooner.
                 crowded = self.fills_out >= self.fill_room - 2
                 if in_time and (crowded or self.full_room < inf):
                     self.fill_room = min(self.full_room, self.fill_room + 0.3)
                 elif crowded and not in_time:
                     self.fill_room = max(self.least_room, self.fill_room * 0.95)
-        herd = visit.herd
-        if herd is not None and herd.leader is shot:
-            herd.leader = None
+        if visit.herd is not None and visit.herd.leader is shot:
+            visit.herd.leader = None
         if shot.host in self.caches:
             self._reported(now, report)
-        self._learn(now, visit, shot, result, took, waited, note)
+        self._learn(now, visit, shot, result, took, note)
         if visit.over or closed:
-            self._close(visit)
-            return
+            return self._close(visit)
         if result not in NEVER_RAN and visit.ran_at < 0:
             visit.ran_at, visit.ran_host = shot.sent, shot.host
         if result == Result.MISS:
             visit.missed, visit.missed_at = shot.host, now
-        elif result in (Result.FULL, Result.NO_CONNECTION, Result.LATE, Result.WITHDRAWN) and (
-                note not in SOURCE_FAILED):
-            visit.failed_at.append(shot.host if shot.hung < 0 else shot.hung)
+        elif result in (Result.FULL, Result.NO_CONNECTION, Result.LATE) and note not in SOURCE_FAILED:
+            visit.failed_at.append(shot.host)
             if result == Result.FULL:
                 # What turned us away is crowded: come back a little later each time, spread by chance.
                 visit.not_before = now + int(20_000 * 2 ** min(visit.shots, 4) * (0.5 + self.chance()))
         self.waiting[id] = visit
 
-    def _learn(self, now: int, visit: Visit, shot: Shot, result: int, took: int, waited: int,
-               note: int) -> None:
+    def _learn(self, now: int, visit: Visit, shot: Shot, result: int, took: int, note: int) -> None:
         host, source, track = shot.host, shot.source, visit.track
         if result in SPOKE:
             self._heard(now, host, shot.sent)
@@ -244,8 +223,7 @@
         if source in self.parents and source != host:
             unreached = result == Result.FULL and 0 < self.rules.connect_us <= took + 50_000
             if note == Note.SOURCE_LOST or (not self.site.notes_all and shot.fill and unreached):
-                # Unreachable from where the cache stands: a dead or cut-off parent. The second takes over.
-                # Without notes a refusal counts only if it took as long as a failed connection does.
+                # A dead or cut-off parent; without notes, what took as long as a failed connection does.
                 self._lost(now, source, 2, shot.sent)
                 self._doubt(now, source)
             elif note in (Note.FILLED, Note.FROM_ORIGIN, Note.SOURCE_REFUSED):
@@ -255,8 +233,7 @@
             return
         for i in (host,) if shot.sure or source < 0 else (host, source):
             # What a host carries for this dispatcher, in transfers, over some 5 s.
-            self.carry[i] *= exp((self.carried_at[i] - now) / 5e6)
-            self.carry[i] += visit.send_us() / 5e6
+            self.carry[i] = self.carry[i] * exp((self.carried_at[i] - now) / 5e6) + visit.send_us() / 5e6
             self.carried_at[i] = now
         herd = visit.herd
         if herd is not None and host not in self.parents:
@@ -290,15 +267,11 @@
     def _lost(self, now: int, host: int, signs: int, sent: int) -> None:
         """Signs of processes that went away, and may be back, cold and empty, before the list says so.
 
-        Shots that hang, lost connections: a few at one host or at several of its cell or zone, with no answer
-        from them since, make all of those cold till the list or an older shot's answer tells better. Covers
-        restarts by cell or zone, deploys, crashes, vanished hosts; harms what only hangs, by a cold time.
+        A few at one host or at several of its cell or zone, unanswered since, make these cold till the list
+        or an older answer tells better. Covers restarts, releases, crashes; harms what hangs, by a cold time.
         """
-        tier = self.parents if host in self.parents else self.caches
-        if host == self.origin:
-            return
-        self.losses[host] += signs
-        self.lost_at[host] = now
+        tier = self.parents if host in self.parents else self.caches if host in self.caches else []
+        self.losses[host], self.lost_at[host] = self.losses[host] + signs, now
         beside = [i for i in tier if self.zones[i] == self.zones[host]]
         struck = [i for i in beside if self.losses[i] and now - self.lost_at[i] < 4_000_000]
         cells = {self.cells[i] for i in struck}
@@ -323,36 +296,31 @@
             self.ledger[id].out[number].fixed = True
 
     def client_left(self, now: int, id: str) -> None:
-        visit = self.ledger.get(id)
-        if visit is not None:
-            self._close(visit)
-            self.stirred = True
+        self.stirred = True
+        if id in self.ledger:
+            self._close(self.ledger[id])
 
     def purged(self, now: int, thing: str, group: int, age: int) -> None:
-        name = thing or group
-        self.floors[name] = max(self.floors.get(name, 0), now - age)
+        self.floors[thing or group] = max(self.floors.get(thing or group, 0), now - age)
 
     def _reported(self, now: int, report: list[float]) -> None:
-        if len(report) == len(self.site.report_fields) and "link_full" in self.site.report_fields:
-            full = report[self.site.report_fields.index("link_full")]
-            self.link_full = (full + self.link_full) / 2 if now - self.link_at < 1_000_000 else full
-            self.link_at = now
+        for name, figure in zip(self.site.report_fields, report, strict=False):
+            if name == "link_full":
+                self.link_full, self.link_at = (figure + self.link_full) / 2, now
 
     def _room_left(self, now: int) -> bool:
-        """Whether the location's link has room for one more fill from here.
-
-        Answers that tell of a link below the 1.5 that the room is laid out for open it, but not while parents
-        or the origin may be short. Harms where reports are long out of date.
-        """
+        """Whether the location's link has room for one more fill from here."""
         if self.fills_out < self.fill_room:
             return True
+        # Answers that tell of a link below the 1.5 that the room is laid out for open it, but not while
+        # parents or the origin may be short. Harms where reports are long out of date.
         fine = all(row.in_time > 0.85 for row in self.tracks.values()) and all(
             self.cold_since[i] < 0 and self._usable(now, i) for i in self.parents if self.states[i] != "gone")
         return fine and now - self.link_at < 1_000_000 and (
             self.fills_out < self.fill_room * min(3.0, 1.5 / max(0.1, self.link_full)))
 
     def probe_answered(self, now: int, host: str, good: bool, took: int, report: list[float]) -> None:
-        """Nothing is asked: what probes tell of the link has gained nothing over their price."""
+        """Nothing is asked: what probes tell of the link gained nothing over their price."""
 
     def timer_due(self, now: int, token: int) -> None:
         self.stirred = True
@@ -380,11 +348,7 @@
             # Most earnings for the time first: what serves most under a crowded link. Where the source is
             # slow, a track whose fills miss their goal yields to one whose goal leaves room for the wait; so
             # does a client that comes again: its goal runs from its first try.
-            for visit in self.waiting.values():
-                row = visit.track
-                earns = max(0.001, row.tariff.earnings) * (row.in_time + 0.02) * (0.2 if visit.again else 1.0)
-                visit.weight = (visit.send_us() + row.wait_us) / earns
-            for visit in sorted(self.waiting.values(), key=attrgetter("weight")):
+            for visit in sorted(self.waiting.values(), key=self._weight):
                 herd = visit.herd
                 if (visit.missed < 0 or now > visit.latest or self._room_left(now) or herd is None
                         or herd.leader is not None or herd.seen > visit.missed_at):
@@ -394,6 +358,11 @@
             self.wake_at, self.token = now + wait, self.token + 1
             self.outbox.append(Decision("wake", token=self.token, wait_us=wait))
 
+    def _weight(self, visit: Visit) -> float:
+        row = visit.track
+        earns = max(0.001, row.tariff.earnings) * (row.in_time + 0.02) * (0.2 if visit.again else 1.0)
+        return (visit.send_us() + row.wait_us) / earns
+
     def _close(self, visit: Visit) -> None:
         visit.over = True
         self.waiting.pop(visit.id, None)
@@ -405,7 +374,7 @@
         tariff = visit.track.tariff
         harmless = tariff.redo == REDOABLE or visit.ran_at < 0
         if harmless or (tariff.redo != IRREVERSIBLE and tariff.redo_group == "all"):
-            longest = self.rules.max_return_us if self.rules.may_name_return else 0
+            longest = self.rules.max_return_us * self.rules.may_name_return
             wait = int(longest * (0.5 + self.chance() / 2))
             self.outbox.append(Decision("turn_back", visit.id, wait_us=wait))
         else:
@@ -433,47 +402,39 @@
                 track.in_time < track.tariff.old_share or (last and visit.missed >= 0)):
             visit.old = True
             if visit.missed >= 0 and self._gate(now, visit, visit.missed, visit.missed):
-                self._shoot(now, visit, visit.missed, visit.missed)
-                return
+                return self._shoot(now, visit, visit.missed, visit.missed)
         if last or not self._may_repeat(now, visit, visit.ran_host):
-            self._finish(visit)
-            return
+            return self._finish(visit)
         if now < visit.not_before:
             return
         if visit.track.tariff.uncached:
-            self._place_uncached(now, visit)
-            return
+            return self._place_uncached(now, visit)
         herd = visit.herd or self._join_herd(now, visit)
         here, leader = self._copy_at(now, visit, herd), herd.leader
         if here < 0 and visit.marked and leader is not None and self._usable(now, leader.host):
             if self.site.joins:
                 if self._gate(now, visit, leader.host, leader.source):
-                    self._shoot(now, visit, leader.host, leader.source, join=True)
-                    return
+                    return self._shoot(now, visit, leader.host, leader.source, join=True)
             elif now < visit.latest - 40_000:
                 return
         host = here if here >= 0 and self._has_room(now, here) else self._pick(now, visit)
         if host < 0:
-            self._pass_by(now, visit)
-            return
+            return self._pass_by(now, visit)
         source, known = self._source(now, visit, host), here == host
-        cold = self.cold_since[host] >= 0 or self.cold_since[source] >= 0
-        crowded = visit.old or self.fills_out * 2 >= self.fill_room
-        if not known and visit.missed != host and not cold and crowded:
+        warm = self.cold_since[host] < 0 and self.cold_since[source] < 0
+        look = visit.old or self.fills_out * 2 >= self.fill_room
+        if warm and look and not known and visit.missed != host:
             return self._shoot(now, visit, host, host) if self._gate(now, visit, host, host) else None
         # Fills that come too late get the share of the room that comes in time, and one to find out more.
-        full = not self._room_left(now) or (
-            track.in_time < 0.5 and track.fills_out >= 1 + self.fill_room * track.in_time)
-        if (known or not full) and self._gate(now, visit, host, source):
+        late = track.in_time < 0.5 and track.fills_out >= 1 + self.fill_room * track.in_time
+        if (known or (self._room_left(now) and not late)) and self._gate(now, visit, host, source):
             self._shoot(now, visit, host, source, fill=not known, sure=known,
                         join=self.site.joins and not visit.failed_at)
 
     def _pass_by(self, now: int, visit: Visit) -> None:
-        """Where all caches are gone, silent or out of a cold host's budget, visits go straight to a parent.
-
-        Not where they are merely full, and within the room for fills. Covers lost locations, releases and
-        mass restarts; harms by taking from the link what caches would spare it.
-        """
+        """Where all caches are gone, silent or out of a cold budget, visits go straight to a parent."""
+        # Not where they are merely full, and within the room for fills. Covers lost locations, releases and
+        # mass restarts; harms by taking from the link what caches would spare it.
         if any(self.trust[i] > 8 and self._usable(now, i) and self._budget(now, i, visit.track.send_us)
                for i in self.caches):
             return
@@ -486,12 +447,10 @@
 
     def _place_uncached(self, now: int, visit: Visit) -> None:
         if self.origin < 0 or self.states[self.origin] != "up":
-            self._finish(visit)
-            return
-        straight = self.rules.may_pass_by
-        host = self.origin if straight else self._pick(now, visit)
-        if host >= 0 and self._gate(now, visit, host, -1 if straight else self.origin):
-            self._shoot(now, visit, host, -1 if straight else self.origin)
+            return self._finish(visit)
+        host, source = (self.origin, -1) if self.rules.may_pass_by else (self._pick(now, visit), self.origin)
+        if host >= 0 and self._gate(now, visit, host, source):
+            self._shoot(now, visit, host, source)
 
     def _join_herd(self, now: int, visit: Visit) -> Herd:
         """The bucket of the fingerprint: a visit that finds it empty marks a herd."""
@@ -514,8 +473,7 @@
         host = herd.host
         if host < 0 or self.life[host] != herd.life or now - herd.seen > 8_000_000 or visit.missed == host:
             return -1
-        fresh = visit.track.tariff.fresh_us
-        stale = (fresh and now - herd.born >= fresh) or herd.born <= self._floor(visit)
+        stale = 0 < visit.track.tariff.fresh_us <= now - herd.born or herd.born <= self._floor(visit)
         return -1 if stale or not self._usable(now, host) else host
 
     def _floor(self, visit: Visit) -> int:
@@ -532,12 +490,10 @@
         scored = []
         for i in hosts:
             x = (key ^ self.salts[i]) * 0x9E3779B97F4A7C15 & 0xFFFFFFFFFFFFFFFF
-            x = ((x ^ x >> 29) * 0xBF58476D1CE4E5B9 & 0xFFFFFFFFFFFFFFFF)
-            x ^= x >> 32
+            x = (x ^ x >> 29) * 0xBF58476D1CE4E5B9 & 0xFFFFFFFFFFFFFFFF
             weight = self.units[i] if self.site.links_told and self.units[i] > 0 else 1.0
-            scored.append((-log((x + 1) / 2**64) / weight, i))
-        scored.sort()
-        return [i for _, i in scored]
+            scored.append((-log(((x ^ x >> 32) + 1) / 2**64) / weight, i))
+        return [i for _, i in sorted(scored)]
 
     def _orders(self, visit: Visit) -> tuple[list[int], list[int]]:
         """Caches by object and part, parents by object alone; kept with the visit until the list changes."""
@@ -575,28 +531,26 @@
         since = self.cold_since[host]
         if since < 0:
             return True
-        rules, parent = self.rules, host in self.parents
-        long = rules.parent_cold_us if parent else rules.cold_us
+        rules, sharers = self.rules, max(1, self.site.dispatchers_here)
+        least, long, multiple = rules.cold_from, rules.cold_us, rules.tip_multiple
+        if host in self.parents:
+            least, long, multiple = rules.parent_cold_from, rules.parent_cold_us, rules.parent_tip_multiple
+            sharers = self.site.dispatchers
         if now - since >= long:
             self.cold_since[host] = -1
             self.spent[host].clear()
             return True
-        least = rules.parent_cold_from if parent else rules.cold_from
-        sharers = max(1, self.site.dispatchers if parent else self.site.dispatchers_here)
         window = self.spent[host]
         while window and window[0][0] <= now - rules.tip_us:
             window.popleft()
         can = least + (1 - least) * max(0, now - rules.tip_us - since) / long
-        multiple = rules.parent_tip_multiple if parent else rules.tip_multiple
         budget = 0.7 * multiple * self._link(host) * can * rules.tip_us
         # Where a dispatcher's share holds no transfer, as many have one as there are transfers: a lot by
         # their numbers, spread so evenly that it also holds within a location, however it is numbered.
         dearest = max(0.0 if row.tariff.uncached else row.send_us for row in self.tracks.values())
         shares = min(sharers, budget // max(1.0, dearest))
         lot = (self.site.number * 0.6180339887 + self.salts[host] / 2**64) % 1.0
-        if shares < 1 or lot * sharers >= shares:
-            return False
-        return sum(work for _, work in window) + send_us <= budget / shares
+        return lot * sharers < shares and sum(work for _, work in window) + send_us <= budget / shares
 
     def _link(self, host: int) -> float:
         """A host's link in transfers: as told, else its part of the location's or what its kind carried."""
@@ -620,8 +574,7 @@
     def _shoot(self, now: int, visit: Visit, host: int, source: int, fill: bool = False, join: bool = False,
                sure: bool = False) -> None:
         shot = Shot(visit, host, source, now, fill, sure or source == host)
-        visit.out[visit.shots] = shot
-        visit.shots += 1
+        visit.out[visit.shots], visit.shots = shot, visit.shots + 1
         self.waiting.pop(visit.id, None)
         self.out_at[host][shot] = self.shots[shot] = None
         if source >= 0 and not shot.sure:
@@ -644,39 +597,27 @@
             within_us=max(1, visit.outer - now), keep=2, oldest_us=oldest, join=join, shot=shot.number))
 
     def _find_silent(self, now: int) -> None:
-        """Takes back shots that hang, in time for another way, and rests the host that they hang at.
+        """Takes back shots that hang, and rests the host that they hang at.
 
-        A fill that hangs is its parent's doing only where others have filled since: a slow origin delays all.
-        One shot is enough: a dispatcher of many seldom has two at one host. Covers hangs, vanished hosts, cut
-        links, lost messages; harms where many objects are huge, and doubles fills that are merely late.
+        One is enough: a dispatcher of many seldom has two at a host. A parent is blamed only where others
+        filled since and most fills are in time: a slow origin delays all. Covers hangs and vanished hosts.
         """
-        for shot in list(self.shots):
-            visit, out = shot.visit, now - shot.sent
+        for shot in [shot for shot in self.shots if not shot.fixed and shot.host != self.origin]:
+            visit, out, send = shot.visit, now - shot.sent, shot.visit.send_us()
             host = shot.source if shot.fill and shot.source in self.parents else shot.host
-            send = visit.send_us()
-            goal = visit.goal_us(send)
-            if host == self.origin or shot.fixed:
-                continue
             parent = host in self.parents
-            # Where half of all fills are late, none is blamed on its parent, nor doubled.
-            unheard = self.heard[host] < shot.sent and (not parent or visit.track.in_time > 0.5)
-            quiet = unheard and (not parent or self.filled_at >= shot.sent)
-            # The last moment for another shot to be in time: two looks at the clock and a fill's way more.
-            left = visit.came + goal - send - now
-            again = unheard and 0 < left < 100_000 and out > 2 * (send + visit.track.wait_us)
-            # 0.7 s over twice its sending time: pauses are shorter, one large object is no sign.
-            # Far past its goal: lost on its way, or late. Harms huge objects.
+            quiet = self.heard[host] < shot.sent and (
+                not parent or (visit.track.in_time > 0.5 and self.filled_at >= shot.sent))
+            # 0.7 s over twice its sending time: pauses are shorter, one large object is no sign. Far past its
+            # goal: lost on its way, or late. Harms huge objects.
             overdue = quiet and out > 700_000 + 2 * send
-            if again or overdue or out > 1.5 * goal:
-                shot.hung = host
+            if overdue or out > 1.5 * visit.goal_us(send):
+                visit.failed_at.append(host)
                 if quiet:
-                    shot.blamed = parent
                     if not parent:  # a parent that is gone fails its caches' connections: a clearer sign
                         self._lost(now, host, 2, shot.sent)
                     # Of a parent a dispatcher of many has few fills: 1 s at least, lest each test costs one.
                     self._doubt(now, host, 3 if parent else 1)
-                if again:
-                    visit.latest = min(visit.outer - 100_000, max(visit.latest, now + 20_000))
                 self._withdraw(shot)
 
     def _withdraw(self, shot: Shot) -> None:
