--- a/hoistplank/choice.py
+++ b/hoistplank/choice.py
@@ -47,7 +47,7 @@
         self.id, self.track, self.thing, self.part, self.group = id, track, thing, part, group
         self.print = (thing, part, track.tariff.name)
         self.known_us, self.outer, self.latest, self.ran_at, self.ran_host = 0.0, outer, outer, -1, -1
-        self.shots, self.over = 0, False
+        self.shots, self.over, self.due = 0, False, 0
         self.missed, self.missed_at, self.not_before, self.marked = -1, 0, 0, False
         self.herd: Herd | None = None
         self.out, self.failed_at = dict[int, Shot](), list[int]()
@@ -211,7 +211,7 @@
             if result == Result.FULL:
                 # What turned us away is crowded: come back a little later each time, spread by chance.
                 visit.not_before = now + int(20_000 * 2 ** min(visit.shots, 4) * (0.5 + self.chance()))
-        self.waiting[id] = visit
+        self.waiting[id], visit.due = visit, 0
 
     def _learn(self, now: int, visit: Visit, shot: Shot, result: int, took: int, note: int) -> None:
         host, source, track = shot.host, shot.source, visit.track
@@ -324,9 +324,7 @@
 
     def timer_due(self, now: int, token: int) -> None:
         self.stirred = True
-        if token == self.token:
-            self.wake_at = 0
-
+        self.wake_at = 0 if token == self.token else self.wake_at
 
     def next_decision(self, now: int) -> Decision | None:
         if self.stirred:
@@ -345,11 +343,12 @@
             self.silence_check = now + 50_000  # a silence shows after 0.7 s, so this is fine enough
             self._find_silent(now)
         if self.waiting:
-            # Most earnings for the time first: what serves most under a crowded link. Where the source is
-            # slow, a track whose fills miss their goal yields to one whose goal leaves room for the wait; so
-            # does a client that comes again: its goal runs from its first try.
-            for visit in sorted(self.waiting.values(), key=self._weight):
-                herd = visit.herd
+            # Most earnings for the time first. Where the source is slow, a track whose fills miss their goal
+            # yields to one whose goal leaves room for the wait; so does a client that comes again.
+            # Held visits are looked at the less often the more there are: else the work grows with their square.
+            pause = min(50_000, 2_000 * len(self.waiting))
+            for visit in sorted(filter(lambda v: v.due <= now, self.waiting.values()), key=self._weight):
+                visit.due, herd = now + pause, visit.herd
                 if (visit.missed < 0 or now > visit.latest or self._room_left(now) or herd is None
                         or herd.leader is not None or herd.seen > visit.missed_at):
                     self._place(now, visit)
@@ -505,9 +504,9 @@
         return visit.orders
 
     def _pick(self, now: int, visit: Visit) -> int:
-        fit = [i for i in self._orders(visit)[0]
-               if self._has_room(now, i) and self._budget(now, i, visit.track.send_us)]
-        return next((i for i in fit if i not in visit.failed_at), fit[0] if fit else -1)
+        order = sorted(self._orders(visit)[0], key=visit.failed_at.__contains__)  # what failed it comes last
+        fit = (i for i in order if self._has_room(now, i) and self._budget(now, i, visit.track.send_us))
+        return next(fit, -1)
 
     def _source(self, now: int, visit: Visit, host: int) -> int:
         """The first parent by a hash over all listed, the second where the first may not or runs slow."""
