--- a/hoistplank/choice.py
+++ b/hoistplank/choice.py
@@ -343,11 +343,11 @@
             self.silence_check = now + 50_000  # a silence shows after 0.7 s, so this is fine enough
             self._find_silent(now)
         if self.waiting:
-            # Most earnings for the time first. Where the source is slow, a track whose fills miss their goal
-            # yields to one whose goal leaves room for the wait; so does a client that comes again.
-            # Held visits are looked at the less often the more there are: else the work grows with their square.
-            pause = min(50_000, 2_000 * len(self.waiting))
-            for visit in sorted(filter(lambda v: v.due <= now, self.waiting.values()), key=self._weight):
+            # Most earnings for the time first; a track whose fills miss their goal, or a repeat, yields.
+            # Held visits are looked at the less often the more there are, lest work grow with their square.
+            pause = min(50_000, 10 * len(self.waiting) ** 2)
+            due = [visit for visit in self.waiting.values() if visit.due <= now]
+            for visit in sorted(due, key=self._weight):
                 visit.due, herd = now + pause, visit.herd
                 if (visit.missed < 0 or now > visit.latest or self._room_left(now) or herd is None
                         or herd.leader is not None or herd.seen > visit.missed_at):
