--- a/hoistplank/benchlink/__main__.py
+++ b/hoistplank/benchlink/__main__.py
@@ -5,8 +5,8 @@
 import io
 import sys
 
-from hoistplank.benchlink.codec import WireError
 from hoistplank.benchlink.hosting import Hosting
+from hoistplank.facts import FactError
 
 
 def main() -> int:
@@ -15,7 +15,7 @@
         for reply in Hosting().play(source):
             sys.stdout.write(reply + "\n" if not reply.endswith("\n") else reply)
             sys.stdout.flush()
-    except (WireError, UnicodeDecodeError) as wrong:
+    except (FactError, UnicodeDecodeError) as wrong:
         print(f"benchlink: {wrong}", file=sys.stderr)
         return 2
     except BrokenPipeError:
--- a/hoistplank/benchlink/hosting.py
+++ b/hoistplank/benchlink/hosting.py
@@ -4,8 +4,9 @@
 
 from collections.abc import Callable, Iterable, Iterator
 
-from hoistplank.benchlink.codec import RESULTS, Fields, WireError, entry, line, numbers, site
+from hoistplank.benchlink.codec import RESULTS, entry, line
 from hoistplank.choice import Router
+from hoistplank.facts import FactError, Fields, numbers, site
 from hoistplank.interface import HostEntry
 
 FORMS = {"incr": "changes", "total": "whole", "warm_copy": "kept", "lost": "failed"}
@@ -32,10 +33,10 @@
                 name, _, rest = text.partition(" ")
                 if name == "FRAME":
                     if open_batch:
-                        raise WireError("a batch begins inside another")
+                        raise FactError("a batch begins inside another")
                     self.now, open_batch = Fields(rest.split(" ")).micros("moment"), True
                 elif not open_batch:
-                    raise WireError(f"'{name[:40]}' stands outside a batch")
+                    raise FactError(f"'{name[:40]}' stands outside a batch")
                 elif name == "COMMIT":
                     open_batch = False
                     yield self.reply()
@@ -43,20 +44,20 @@
                     sheet = Fields(rest.split(" "))
                     count = sheet.whole("members_list", 0)
                     if count < 0:
-                        raise WireError("field 'members_list' is below 0")
+                        raise FactError("field 'members_list' is below 0")
                     entries: list[HostEntry] = []
                     for _ in range(count):
                         number, text = next(stream, (number + 1, ""))
                         if not text.startswith("ITEM "):
-                            raise WireError("a list ends before its stated number of ITEM lines")
+                            raise FactError("a list ends before its stated number of ITEM lines")
                         entries.append(entry(Fields(text[5:].split(" "))))
                     self.sheets[sheet.whole("buffer", 0)] = entries
                 else:
                     self.event(name, Fields(rest.split(" ") if rest else []))
             if open_batch:
-                raise WireError("the input ends inside a batch")
-        except WireError as wrong:
-            raise WireError(f"line {number}: {text.partition(' ')[0][:40]}: {wrong}") from None
+                raise FactError("the input ends inside a batch")
+        except FactError as wrong:
+            raise FactError(f"line {number}: {text.partition(' ')[0][:40]}: {wrong}") from None
 
     def event(self, name: str, fields: Fields) -> None:
         call = self.EVENTS.get(name)
@@ -79,7 +80,7 @@
         router = self.routers.get(instance)
         if router is None:
             if instance not in self.faults:
-                raise WireError(f"field 'dispatcher_id' names no running instance '{instance[:40]}'")
+                raise FactError(f"field 'dispatcher_id' names no running instance '{instance[:40]}'")
             return
         act = call(self, router, fields)
         self.guarded(instance, act)
@@ -110,10 +111,10 @@
     def listed(self, router: Router, f: Fields) -> Callable[[], None]:
         form = f.text("form")
         if form not in FORMS:
-            raise WireError(f"field 'form' has no meaning '{form[:20]}'")
+            raise FactError(f"field 'form' has no meaning '{form[:20]}'")
         buffer = f.whole("buffer", 0)
         if form != "lost" and buffer not in self.sheets:
-            raise WireError("field 'buffer' names no list")
+            raise FactError("field 'buffer' names no list")
         entries = [] if form == "lost" else self.sheets[buffer]
         return lambda: router.hosts_listed(self.now, FORMS[form], entries)
 
@@ -131,7 +132,7 @@
     def ended(self, router: Router, f: Fields) -> Callable[[], None]:
         visit, shot, status = f.text("request_id"), f.whole("trial"), f.text("status")
         if status not in RESULTS:
-            raise WireError(f"field 'status' has no meaning '{status[:20]}'")
+            raise FactError(f"field 'status' has no meaning '{status[:20]}'")
         closed, took, waited = f.flag("ended"), f.micros("time_taken", 0), f.micros("source_wait", -1)
         note, report = f.whole("info", 0), numbers(f.text("feedback", ""), "feedback")
         return lambda: router.shot_ended(
--- /dev/null
+++ b/hoistplank/protocol/cachewire.py
@@ -0,0 +1,111 @@
+"""The line protocol of cache hosts: requests are encoded, answers are read."""
+
+from __future__ import annotations
+
+import re
+from dataclasses import dataclass
+
+from hoistplank.protocol.errors import BadBytes
+
+MOST_HEAD = 4_096  # a line of an answer: an id, a word, some short fields and a length
+MOST_BODY = 240_000
+OK_WORDS = ("served", "still_good")
+WORDS = (*OK_WORDS, "not_here", "overload", "crashed", "nobody", "green", "red")
+# Order of the simulator's numbers; an answer without the field tells nothing.
+DETAILS = {"hit": 1, "filled": 2, "via_origin": 3, "joined": 4, "stale": 5, "src_refused": 6, "src_broke": 7,
+           "src_lacks": 8, "no_slot": 9, "origin_failed": 10}
+TOKEN = re.compile(r"[!-+\--<>-~]+")  # visible characters but the comma and the equals sign
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    id: str
+    word: str
+    fields: dict[str, str]
+    body: bytes
+
+    def note(self) -> int:
+        return DETAILS.get(self.fields.get("detail", ""), 0)
+
+    def report(self, names: tuple[str, ...]) -> list[float]:
+        """The load report in the order of the site's names; empty where none or an unreadable one came."""
+        use = dict(part.partition(":")[::2] for part in self.fields.get("use", "").split(";") if part)
+        try:
+            return [float(use[name]) for name in names] if use else []
+        except (KeyError, ValueError):
+            return []
+
+
+def is_token(text: str) -> bool:
+    """Whether a value can stand in a line without changing what the line says."""
+    return TOKEN.fullmatch(text) is not None
+
+
+def get(id: str, fields: dict[str, str], body: bytes = b"") -> bytes:
+    row = ",".join(f"{name}={value}" for name, value in fields.items()) or "-"
+    return b"".join((f"GET {id} {row} {len(body)}\r\n".encode("latin-1"), body, b"\r\n"))
+
+
+def drop(id: str) -> bytes:
+    return f"DROP {id}\r\n".encode("latin-1")
+
+
+def load(tag: str) -> bytes:
+    return f"LOAD {tag}\r\n".encode("latin-1")
+
+
+class Reader:
+    """The answers of one connection; keeps the head of the answer whose body is still to come."""
+
+    def __init__(self) -> None:
+        self.head: tuple[str, str, dict[str, str]] | None = None
+        self.length, self.seen = 0, 0
+
+    def read(self, buffer: bytearray, start: int, end: int) -> tuple[int, list[Answer]]:
+        """Takes all whole answers between start and end; raises BadBytes on what is none."""
+        found: list[Answer] = []
+        while True:
+            if self.head is None:
+                stop = buffer.find(b"\r\n", start + self.seen, end)
+                if stop < 0:
+                    if end - start > MOST_HEAD:
+                        raise BadBytes("an answer's line is too long")
+                    self.seen = max(0, end - start - 1)
+                    return start, found
+                if stop - start > MOST_HEAD:
+                    raise BadBytes("an answer's line is too long")
+                self.seen = 0
+                answer = self._head(bytes(buffer[start:stop]))
+                start = stop + 2
+                if answer is not None:
+                    found.append(answer)
+                continue
+            if end - start < self.length + 2:
+                return start, found
+            stop = start + self.length
+            if buffer[stop : stop + 2] != b"\r\n":
+                raise BadBytes("an answer's bytes are not followed by CR LF")
+            with memoryview(buffer) as view:
+                found.append(Answer(*self.head, bytes(view[start:stop])))
+            self.head, start = None, stop + 2
+
+    def _head(self, line: bytes) -> Answer | None:
+        words = line.decode("latin-1").split(" ")
+        if len(words) not in (2, 3, 4):
+            raise BadBytes(f"an answer has {len(words)} words")
+        if words[1] not in WORDS:
+            raise BadBytes(f"an answer has the unknown word '{words[1][:20]}'")
+        fields: dict[str, str] = {}
+        for part in words[2].split(",") if len(words) > 2 and words[2] != "-" else []:
+            name, equals, value = part.partition("=")
+            if not equals:
+                raise BadBytes(f"an answer has the field '{part[:20]}' without a value")
+            fields[name] = value
+        if len(words) < 4:
+            if words[1] in OK_WORDS:
+                raise BadBytes("an answer has no length")
+            return Answer(words[0], words[1], fields, b"")
+        if not (words[3].isascii() and words[3].isdecimal()) or int(words[3]) > MOST_BODY:
+            raise BadBytes(f"an answer has the length '{words[3][:20]}'")
+        self.head, self.length = (words[0], words[1], fields), int(words[3])
+        return None
--- /dev/null
+++ b/hoistplank/protocol/changelog.py
@@ -0,0 +1,96 @@
+"""The change log: its events as JSON, a line each, and the line that asks for them."""
+
+from __future__ import annotations
+
+import msgspec
+
+from hoistplank.interface import HostEntry
+from hoistplank.protocol.errors import BadBytes
+
+MOST_LINE = 1_048_576  # a whole list of some thousand cache hosts
+STATES = {"ready": "up", "draining": "draining", "gone": "gone"}
+
+
+class Target(msgspec.Struct, frozen=True):
+    uid: str
+    endpoint: str
+    az: str = ""
+    model: str = ""
+    pod_group: int = 0
+    state: str = "ready"
+    capacity_hint: float = 1.0
+    boot_ms: float = 0
+
+    def entry(self) -> HostEntry:
+        return HostEntry(self.uid, self.az, self.model, self.pod_group, self.capacity_hint,
+                         int(self.boot_ms * 1000), STATES[self.state])
+
+    def address(self) -> tuple[str, int]:
+        return address(self.endpoint)
+
+
+class Fleet(msgspec.Struct, frozen=True):
+    rev: int = 0
+    all: bool = False
+    targets: list[Target] = []
+
+
+class Purge(msgspec.Struct, frozen=True):
+    time: float
+    object: str = ""
+    bucket: int = 0
+
+
+class Event(msgspec.Struct, frozen=True):
+    seq: int
+    fleet: Fleet | None = None
+    invalidate: Purge | None = None
+
+
+class Known(msgspec.Struct, frozen=True):
+    seq: int = 0
+    results: list[Event] = []
+
+
+_decoder = msgspec.json.Decoder(int | Event)
+
+
+def address(text: str) -> tuple[str, int]:
+    host, colon, port = text.rpartition(":")
+    if not colon or not host or not (port.isascii() and port.isdecimal()) or int(port) > 65_535:
+        raise BadBytes(f"'{text[:60]}' is no address with a port")
+    return host, int(port)
+
+
+def check(event: Event) -> Event:
+    for target in event.fleet.targets if event.fleet else []:
+        address(target.endpoint)
+        if target.state not in STATES:
+            raise BadBytes(f"cache host {target.uid[:40]} has the unknown state '{target.state[:20]}'")
+    return event
+
+
+def since(number: int) -> bytes:
+    return f"since {number}\n".encode()
+
+
+class Reader:
+    """The lines of one connection: events, and bare numbers that say how far the log has come."""
+
+    def __init__(self) -> None:
+        self.seen = 0
+
+    def read(self, buffer: bytearray, start: int, end: int) -> tuple[int, list[Event | int]]:
+        found: list[Event | int] = []
+        while (stop := buffer.find(b"\n", start + self.seen, end)) >= 0:
+            line, start, self.seen = bytes(buffer[start:stop]).strip(), stop + 1, 0
+            if line:
+                try:
+                    told = _decoder.decode(line)
+                except msgspec.MsgspecError as wrong:
+                    raise BadBytes(f"a line of the change log can't be read: {wrong}") from None
+                found.append(told if isinstance(told, int) else check(told))
+        self.seen = end - start
+        if self.seen > MOST_LINE:
+            raise BadBytes("a line of the change log is too long")
+        return start, found
--- /dev/null
+++ b/hoistplank/protocol/fastcgi.py
@@ -0,0 +1,194 @@
+"""FastCGI 1.0 as an application in the role of a responder: records to requests, answers to records."""
+
+from __future__ import annotations
+
+import struct
+from dataclasses import dataclass, field
+
+from hoistplank.protocol.errors import BadBytes
+
+BEGIN, ABORT, END, PARAMS, STDIN, STDOUT = 1, 2, 3, 4, 5, 6
+GET_VALUES, GET_VALUES_RESULT, UNKNOWN_TYPE = 9, 10, 11
+RESPONDER, KEEP_CONN = 1, 1
+COMPLETE, OVERLOADED, UNKNOWN_ROLE = 0, 2, 3
+
+HEADER = struct.Struct(">BBHHBx")
+MOST_CONTENT = 65_535
+MOST_PARAMS = 32_768  # all fields of a request; those in use take some 400 bytes
+MOST_BODY = 48_000
+
+
+@dataclass(slots=True)
+class Request:
+    """One request as its records come in; `spoiled` says why it can't be used, once that is known."""
+
+    number: int
+    role: int
+    keep: bool
+    params: bytearray = field(default_factory=bytearray)
+    body: bytearray = field(default_factory=bytearray)
+    params_over: bool = False
+    body_over: bool = False
+    spoiled: str = ""
+
+    def fields(self) -> dict[str, str]:
+        """The parameters; raises BadBytes where lengths and bytes don't agree."""
+        found: dict[str, str] = {}
+        for name, value in pairs(self.params):
+            found[name.decode("latin-1")] = value.decode("latin-1")
+        return found
+
+
+@dataclass(frozen=True, slots=True)
+class Whole:
+    """A request has come whole."""
+
+    request: Request
+
+
+@dataclass(frozen=True, slots=True)
+class Aborted:
+    """The client no longer waits for a request, which may not have been whole."""
+
+    number: int
+    whole: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Reply:
+    """Bytes that the protocol itself owes."""
+
+    data: bytes
+
+
+def pairs(data: bytes | bytearray) -> list[tuple[bytes, bytes]]:
+    """Names and values: each behind their two lengths, of one byte or of four with the top bit set."""
+    found, at = list[tuple[bytes, bytes]](), 0
+    while at < len(data):
+        lengths = [0, 0]
+        for which in (0, 1):
+            if at >= len(data):
+                raise BadBytes("a parameter ends inside its lengths")
+            lengths[which], at = data[at], at + 1
+            if lengths[which] & 0x80:
+                if at + 3 > len(data):
+                    raise BadBytes("a parameter ends inside its lengths")
+                lengths[which] = (lengths[which] & 0x7F) << 24 | int.from_bytes(data[at : at + 3], "big")
+                at += 3
+        name_end = at + lengths[0]
+        if name_end + lengths[1] > len(data):
+            raise BadBytes("a parameter is longer than what was sent")
+        found.append((bytes(data[at:name_end]), bytes(data[name_end : name_end + lengths[1]])))
+        at = name_end + lengths[1]
+    return found
+
+
+def pair(name: bytes, value: bytes) -> bytes:
+    lengths = b"".join(
+        bytes((len(word),)) if len(word) < 0x80 else struct.pack(">I", len(word) | 0x80000000)
+        for word in (name, value)
+    )
+    return lengths + name + value
+
+
+def record(kind: int, number: int, content: bytes = b"") -> bytes:
+    return HEADER.pack(1, kind, number, len(content), 0) + content
+
+
+def ended(number: int, status: int = 0, protocol: int = COMPLETE) -> bytes:
+    return record(END, number, struct.pack(">IB3x", status, protocol))
+
+
+def answer(number: int, status: int, fields: tuple[tuple[str, str], ...], body: bytes) -> bytes:
+    """A whole CGI response: its STDOUT records, the stream's end, END_REQUEST."""
+    lines = [f"Status: {status}", "Content-Type: application/octet-stream", f"Content-Length: {len(body)}"]
+    head = "\r\n".join([*lines, *(f"{name}: {value}" for name, value in fields), "", ""]).encode("latin-1")
+    first = min(len(body), MOST_CONTENT - len(head))
+    parts = [HEADER.pack(1, STDOUT, number, len(head) + first, 0), head, memoryview(body)[:first]]
+    for at in range(first, len(body), MOST_CONTENT):
+        piece = memoryview(body)[at : at + MOST_CONTENT]
+        parts += [HEADER.pack(1, STDOUT, number, len(piece), 0), piece]
+    return b"".join([*parts, record(STDOUT, number), ended(number)])
+
+
+class Reader:
+    """The requests of one connection; gets its buffer after each read and says how far it has come."""
+
+    def __init__(self, most_requests: int) -> None:
+        self.requests: dict[int, Request] = {}
+        self.whole: set[int] = set()
+        self.most_requests = most_requests
+
+    def read(self, buffer: bytearray, start: int, end: int) -> tuple[int, list[Whole | Aborted | Reply]]:
+        """Takes all whole records between start and end; raises BadBytes on what is no FastCGI."""
+        found: list[Whole | Aborted | Reply] = []
+        while end - start >= 8:
+            version, kind, number, length, padding = HEADER.unpack_from(buffer, start)
+            if version != 1:
+                raise BadBytes(f"a record has version {version}")
+            if end - start < 8 + length + padding:
+                break
+            content = memoryview(buffer)[start + 8 : start + 8 + length]
+            try:
+                event = self._management(kind, content) if number == 0 else self._record(kind, number, content)
+            finally:
+                content.release()
+            if event is not None:
+                found.append(event)
+            start += 8 + length + padding
+        return start, found
+
+    def done(self, number: int) -> None:
+        """A request has been answered: its number is free."""
+        self.requests.pop(number, None)
+        self.whole.discard(number)
+
+    def _management(self, kind: int, content: memoryview) -> Reply:
+        if kind != GET_VALUES:
+            return Reply(record(UNKNOWN_TYPE, 0, bytes((kind,)) + bytes(7)))
+        known = {b"FCGI_MAX_CONNS": b"256", b"FCGI_MAX_REQS": b"8192", b"FCGI_MPXS_CONNS": b"1"}
+        asked = [name for name, _ in pairs(bytes(content))]
+        return Reply(record(GET_VALUES_RESULT, 0, b"".join(pair(n, known[n]) for n in asked if n in known)))
+
+    def _record(self, kind: int, number: int, content: memoryview) -> Whole | Aborted | Reply | None:
+        request = self.requests.get(number)
+        if kind == BEGIN:
+            return self._begin(number, content, request)
+        if request is None:
+            return None  # the specification: records of a request that is not active are ignored
+        if kind == ABORT:
+            whole = number in self.whole
+            self.done(number)
+            return Aborted(number, whole)
+        if kind == PARAMS and not request.params_over:
+            request.params_over = not content
+            if len(request.params) + len(content) > MOST_PARAMS:
+                request.spoiled = "the parameters are too long"
+            else:
+                request.params += content
+        elif kind == STDIN and not request.body_over:
+            request.body_over = not content
+            if len(request.body) + len(content) > MOST_BODY:
+                request.spoiled = "the body is too long"
+            else:
+                request.body += content
+        if request.params_over and request.body_over and number not in self.whole:
+            self.whole.add(number)
+            if request.role != RESPONDER:
+                self.done(number)
+                return Reply(ended(number, 0, UNKNOWN_ROLE))
+            return Whole(request)
+        return None
+
+    def _begin(self, number: int, content: memoryview, request: Request | None) -> Reply | None:
+        if len(content) < 3:
+            raise BadBytes("the start of a request is too short")
+        if request is not None:
+            raise BadBytes(f"request {number} begins while it is open")
+        if len(self.requests) >= self.most_requests:
+            return Reply(ended(number, 0, OVERLOADED))
+        role = content[0] << 8 | content[1]
+        if role != RESPONDER:
+            return Reply(ended(number, 0, UNKNOWN_ROLE))
+        self.requests[number] = Request(number, role, bool(content[2] & KEEP_CONN))
+        return None
--- a/tests/test_benchlink.py
+++ b/tests/test_benchlink.py
@@ -2,8 +2,9 @@
 
 import pytest
 
-from hoistplank.benchlink.codec import WireError, micros, seconds
+from hoistplank.benchlink.codec import seconds
 from hoistplank.benchlink.hosting import Hosting
+from hoistplank.facts import FactError, micros
 
 LAUNCH = (
     "LAUNCH dispatcher_id=d/1 salt=7 areas=hub,z1 models=box,parent,origin zone=z1 group_size=1 later.key=x"
@@ -47,5 +48,5 @@
     ("TICK_DUE tag", "line 8: TICK_DUE: field 'tag' is no name=value pair"),
 ])
 def test_malformed_line_is_named(line: str, told: str) -> None:
-    with pytest.raises(WireError, match=told.replace("=", ".")):
+    with pytest.raises(FactError, match=told.replace("=", ".")):
         play(LAUNCH, *LIST, line)
