--- a/hoistplank/facts.py
+++ b/hoistplank/facts.py
@@ -1,4 +1,4 @@
-"""What a site tells at start, read into a `Site`: the one place for it, for the simulator and the sockets alike.
+"""What a site tells at start, read into a `Site`: one place for the simulator and the sockets alike.
 
 Both hand over the same names and units: the simulator as flat pairs, the configuration file as nested JSON,
 which `flat` turns into such pairs. Nothing here judges; an absent value takes the wire's own default.
@@ -95,8 +95,8 @@
         return {name: text for key, inner in value.items() for name, text in flat(inner, dot + key).items()}
     if isinstance(value, list):
         if any(isinstance(inner, dict) for inner in value):
-            pairs = {name: text for i, inner in enumerate(value) for name, text in flat(inner, f"{dot}{i}").items()}
-            return pairs | {dot + "count": str(len(value))}
+            rows = {f"{i}": inner for i, inner in enumerate(value)}
+            return flat(rows, path) | {dot + "count": str(len(value))}
         return {path: ",".join(flat(inner, path).get(path, "") for inner in value)}
     if value is None:
         return {}
--- /dev/null
+++ b/hoistplank/program/__init__.py
@@ -0,0 +1,1 @@
+"""The process: its configuration, its log and its phases."""
--- /dev/null
+++ b/hoistplank/program/service.py
@@ -0,0 +1,138 @@
+"""The program from start to exit, as one object whose phases have names."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import enum
+import gc
+import resource
+import signal
+from random import Random
+from typing import Any
+
+import structlog
+
+from hoistplank.program.berth import Berth
+from hoistplank.routing.caches import answers_of
+from hoistplank.routing.clock import Clock
+from hoistplank.routing.front import Front
+from hoistplank.routing.listing import Listing
+from hoistplank.routing.owner import Closed, Closing, Owner
+from hoistplank.transport.ledger import Ledger
+from hoistplank.transport.listener import Listener
+from hoistplank.transport.pool import Pool
+
+log = structlog.get_logger()
+
+# After SIGTERM new connections come for up to 0.4 s and requests on open ones for 0.2 s more; 0.3 s spare.
+WINDOWS_S = 0.9
+# SIGKILL comes 3.7 s after SIGTERM at the soonest: what is open is answered, and the bytes are out, by then.
+LAST_ANSWER_S, LAST_BYTE_S = 3.2, 3.5
+SWEEP_S = 0.5
+
+
+class Phase(enum.Enum):
+    STARTING = "starting"  # configuration read, list not known yet
+    SERVING = "serving"  # the list is known: health says 200
+    DRAINING = "draining"  # SIGTERM came: still accepting and answering, health says 503
+    STOPPED = "stopped"  # nothing is open, nothing is accepted
+
+
+class Service:
+    def __init__(self, berth: Berth) -> None:
+        self.berth, self.phase, self.code = berth, Phase.STARTING, 0
+        self.loop = asyncio.get_running_loop()
+        self.ledger = Ledger(berth.sockets)
+        self.owner = Owner(berth.site, berth.seed, Clock(), berth.open_cap, berth.reported)
+        self.owner.pool = Pool(
+            self.ledger, berth.streams, berth.idle_s, berth.site.rules.connect_us / 1e6 or 1.0, answers_of,
+            lambda host, wrong: log.warning("cache host's connection closed", host=host, wrong=str(wrong)),
+        )
+        self.front = Front(self.owner, berth.site, self.ledger, lambda: self.phase is Phase.SERVING)
+        self.listing = Listing(self.owner, berth.changelog, berth.known, Random(berth.seed))
+        self.listener = Listener(berth.listen, self.ledger, self.front.greet)
+        self.terminated = asyncio.Event()
+
+    def enter(self, phase: Phase) -> None:
+        self.phase = phase
+        peak_mb = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss // 1024
+        log.info("phase", phase=phase.value, open=len(self.owner.visits), peak_descriptors=self.ledger.peak,
+                 peak_mb=peak_mb, **self.owner.counts)
+
+    async def run(self) -> int:
+        """Serves until SIGTERM and the drain after it, or until a part breaks. Returns the exit code."""
+        for number in (signal.SIGTERM, signal.SIGINT):
+            self.loop.add_signal_handler(number, self.terminated.set)
+        self.loop.set_exception_handler(self._complain)
+        parts = [self.loop.create_task(part, name=name) for name, part in (
+            ("owner", self.owner.run()), ("listener", self.listener.run()),
+            ("change log", self.listing.run()), ("sweep", self._sweep()), ("phases", self._phases()))]
+        self.enter(Phase.STARTING)
+        done, _ = await asyncio.wait(parts, return_when=asyncio.FIRST_COMPLETED)
+        for part in done:
+            wrong = part.exception()
+            if wrong is not None:
+                # Danger: a broken module or part would go on taking visits that it can't answer.
+                log.error("broken", part=part.get_name(), exc_info=wrong)
+                self.code = 1
+                await self._abandon()
+        for part in parts:
+            part.cancel()
+        await asyncio.gather(*parts, return_exceptions=True)
+        self.front.close()
+        if self.owner.pool is not None:
+            self.owner.pool.close()
+        self.enter(Phase.STOPPED)
+        await asyncio.sleep(0.01)  # the connections' tasks end
+        return self.code
+
+    async def _phases(self) -> None:
+        while not self.listing.listed:
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(0.02):
+                    await self.terminated.wait()
+                    break
+        # What was known is with the module before any visit: both go through the owner's queue, in order.
+        gc.collect()
+        gc.freeze()
+        gc.set_threshold(20_000, 20, 50)
+        if not self.terminated.is_set():
+            self.enter(Phase.SERVING)
+        await self.terminated.wait()
+        await self._drain()
+
+    async def _drain(self) -> None:
+        began = self.loop.time()
+        self.enter(Phase.DRAINING)
+        self.owner.tell(Closing(self.owner.clock.now() + int(LAST_ANSWER_S * 1e6)))
+        while self.loop.time() < began + LAST_ANSWER_S:
+            await asyncio.sleep(0.02)
+            if self.loop.time() > began + WINDOWS_S and self._is_empty():
+                return
+        self.owner.tell(Closed())
+        while self.loop.time() < began + LAST_BYTE_S and not self._is_empty():
+            await asyncio.sleep(0.02)
+
+    def _is_empty(self) -> bool:
+        return not self.owner.visits and not self.owner.queue and self.front.flushed()
+
+    async def _abandon(self) -> None:
+        """The open visits of a broken program are written off, as far as that still works."""
+        for visit in list(self.owner.visits.values()):
+            visit.over = True
+            visit.exchange.write_off()
+        self.owner.visits.clear()
+        until = self.loop.time() + 0.5
+        while not self.front.flushed() and self.loop.time() < until:
+            await asyncio.sleep(0.01)
+
+    async def _sweep(self) -> None:
+        while True:
+            await asyncio.sleep(SWEEP_S)
+            self.front.sweep()
+            if self.owner.pool is not None:
+                self.owner.pool.sweep()
+
+    def _complain(self, loop: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
+        log.error("unexpected", what=context.get("message"), exc_info=context.get("exception"))
--- a/hoistplank/protocol/cachewire.py
+++ b/hoistplank/protocol/cachewire.py
@@ -14,6 +14,9 @@
 # Order of the simulator's numbers; an answer without the field tells nothing.
 DETAILS = {"hit": 1, "filled": 2, "via_origin": 3, "joined": 4, "stale": 5, "src_refused": 6, "src_broke": 7,
            "src_lacks": 8, "no_slot": 9, "origin_failed": 10}
+# Words of load reports where they differ from those of the settings.
+REPORT_WORDS = {"rif": "inflight", "busy": "util", "q": "queue", "lat_ms": "latency_ms", "rate": "qps",
+                "fail_rate": "eps"}
 TOKEN = re.compile(r"[!-+\--<>-~]+")  # visible characters but the comma and the equals sign
 
 
@@ -31,7 +34,7 @@
         """The load report in the order of the site's names; empty where none or an unreadable one came."""
         use = dict(part.partition(":")[::2] for part in self.fields.get("use", "").split(";") if part)
         try:
-            return [float(use[name]) for name in names] if use else []
+            return [float(use.get(name) or use[REPORT_WORDS[name]]) for name in names] if use else []
         except (KeyError, ValueError):
             return []
 
@@ -62,9 +65,9 @@
         self.length, self.seen = 0, 0
 
     def read(self, buffer: bytearray, start: int, end: int) -> tuple[int, list[Answer]]:
-        """Takes all whole answers between start and end; raises BadBytes on what is none."""
+        """Takes the whole answers between start and end, one a call; raises BadBytes on what is none."""
         found: list[Answer] = []
-        while True:
+        while not found:
             if self.head is None:
                 stop = buffer.find(b"\r\n", start + self.seen, end)
                 if stop < 0:
@@ -88,6 +91,7 @@
             with memoryview(buffer) as view:
                 found.append(Answer(*self.head, bytes(view[start:stop])))
             self.head, start = None, stop + 2
+        return start, found
 
     def _head(self, line: bytes) -> Answer | None:
         words = line.decode("latin-1").split(" ")
--- a/hoistplank/protocol/fastcgi.py
+++ b/hoistplank/protocol/fastcgi.py
@@ -120,9 +120,9 @@
         self.most_requests = most_requests
 
     def read(self, buffer: bytearray, start: int, end: int) -> tuple[int, list[Whole | Aborted | Reply]]:
-        """Takes all whole records between start and end; raises BadBytes on what is no FastCGI."""
+        """Takes records between start and end up to the next event; raises BadBytes on what is no FastCGI."""
         found: list[Whole | Aborted | Reply] = []
-        while end - start >= 8:
+        while not found and end - start >= 8:
             version, kind, number, length, padding = HEADER.unpack_from(buffer, start)
             if version != 1:
                 raise BadBytes(f"a record has version {version}")
@@ -130,7 +130,7 @@
                 break
             content = memoryview(buffer)[start + 8 : start + 8 + length]
             try:
-                event = self._management(kind, content) if number == 0 else self._record(kind, number, content)
+                event = self._record(kind, number, content) if number else self._management(kind, content)
             finally:
                 content.release()
             if event is not None:
--- /dev/null
+++ b/hoistplank/routing/listing.py
@@ -0,0 +1,98 @@
+"""Follows the change log: what was known at the start, then all later events, in order and without gaps."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from random import Random
+
+import structlog
+
+from hoistplank.protocol import changelog
+from hoistplank.protocol.changelog import Event, Known
+from hoistplank.protocol.errors import BadBytes
+from hoistplank.routing.owner import Listed, Owner, Purged
+from hoistplank.transport.connection import Connection
+
+log = structlog.get_logger()
+
+SILENT_S = 2.2  # a number comes each second: two missed and some
+CONNECT_S = 1.0
+FIRST_PAUSE_S, LONGEST_PAUSE_S = 0.05, 1.0  # what it tells counts as told 7 s later, so it is tried often
+
+
+class Listing:
+    def __init__(self, owner: Owner, address: tuple[str, int], known: Known, chance: Random) -> None:
+        self.owner, self.address, self.chance = owner, address, chance.random
+        self.last, self.listed, self.fresh = 0, False, False
+        for event in known.results:
+            self._apply(event)
+        self.last = max(self.last, known.seq)
+
+    def _apply(self, event: Event) -> None:
+        self.last = event.seq
+        if event.fleet is not None:
+            form = "changes" if self.listed and not event.fleet.all else "whole" if self.listed else "kept"
+            self.listed = True
+            self.owner.tell(Listed(form, event.fleet.targets))
+        if event.invalidate is not None:
+            purge = event.invalidate
+            self.owner.tell(Purged(purge.object, purge.bucket, int(purge.time * 1000)))
+
+    def _take(self, told: Event | int) -> None:
+        self.fresh = True
+        if isinstance(told, int):
+            if told > self.last:
+                raise BadBytes(f"the change log is at {told}, but its events came only to {self.last}")
+        elif told.seq > self.last + 1:
+            raise BadBytes(f"event {told.seq} follows event {self.last}")
+        elif told.seq > self.last:
+            self._apply(told)
+
+    async def run(self) -> None:
+        pause = FIRST_PAUSE_S
+        while True:
+            self.fresh = False
+            wrong = await self._follow()
+            if self.fresh:
+                pause = FIRST_PAUSE_S
+            log.warning("change log lost", wrong=str(wrong) or type(wrong).__name__, last=self.last)
+            self.owner.tell(Listed("failed", []))
+            await asyncio.sleep(pause * (0.5 + self.chance() / 2))
+            pause = min(LONGEST_PAUSE_S, pause * 2)
+
+    async def _follow(self) -> BaseException | str:
+        loop = asyncio.get_running_loop()
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        sock.setblocking(False)
+        try:
+            async with asyncio.timeout(CONNECT_S):
+                await loop.sock_connect(sock, self.address)
+        except OSError as wrong:  # a time-out is one
+            sock.close()
+            return wrong
+        except BaseException:
+            sock.close()
+            raise
+        reader = changelog.Reader()
+
+        def consume(buffer: bytearray, start: int, end: int) -> int:
+            start, found = reader.read(buffer, start, end)
+            for told in found:
+                self._take(told)
+            return start
+
+        connection = Connection(sock, consume, 2 * changelog.MOST_LINE, changelog.MOST_LINE)
+        connection.send(changelog.since(self.last))
+        task = loop.create_task(connection.run())
+        try:
+            while not task.done():
+                await asyncio.wait((task,), timeout=0.2)
+                if loop.time() - connection.heard_at > SILENT_S:
+                    # A machine that is cut off closes nothing: only the seconds that stay away show it.
+                    connection.close()
+                    await asyncio.wait((task,))
+                    return "its seconds stay away"
+        finally:
+            connection.close()
+        return task.result() or "closed by the other side"
--- /dev/null
+++ b/hoistplank/routing/owner.py
@@ -0,0 +1,293 @@
+"""The one task that owns the Router: tells it what the queue holds, and carries out what it decides."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import NamedTuple
+
+import structlog
+
+from hoistplank.choice import Router
+from hoistplank.interface import Decision, HostEntry, Result, Site
+from hoistplank.protocol import cachewire
+from hoistplank.protocol.changelog import Target
+from hoistplank.routing.clock import Clock
+from hoistplank.routing.shots import ENDINGS, Ended, Shot, Visit, request
+from hoistplank.transport.pool import Line, Pool
+
+log = structlog.get_logger()
+
+
+class Came(NamedTuple):
+    visit: Visit
+
+
+class Left(NamedTuple):
+    visit: Visit
+
+
+class Late(NamedTuple):
+    shot: Shot
+
+
+class Due(NamedTuple):
+    token: int
+
+
+class Listed(NamedTuple):
+    form: str
+    targets: list[Target]
+
+
+class Purged(NamedTuple):
+    thing: str
+    group: int
+    made_us: int
+
+
+class Probed(NamedTuple):
+    probe: Probe
+    good: bool
+    report: list[float]
+
+
+class Closing(NamedTuple):
+    """Visits are to be over by then."""
+
+    by_us: int
+
+
+class Closed(NamedTuple):
+    """What is still open is written off."""
+
+
+Event = Came | Left | Late | Due | Listed | Purged | Probed | Closing | Closed | Ended
+
+
+@dataclass(slots=True)
+class Post:
+    """Where a cache host is, by its uid."""
+
+    entry: HostEntry
+    address: tuple[str, int]
+
+
+class Probe:
+    """An errand of the pool's that asks a cache host how it is."""
+
+    def __init__(self, owner: Owner, host: str, number: int, now: int) -> None:
+        self.owner, self.host, self.id, self.sent = owner, host, f"probe-{number}", now
+
+    def may_begin(self) -> bool:
+        return self.owner.is_up(self.host)
+
+    def written(self) -> None:
+        """Nothing hangs on it."""
+
+    def failed(self, how: str) -> None:
+        self.owner.tell(Probed(self, False, []))
+
+    def answered(self, answer: cachewire.Answer) -> None:
+        report = answer.report(self.owner.report_names)
+        self.owner.tell(Probed(self, answer.word == "green", report))
+
+
+class Owner:
+    def __init__(self, site: Site, seed: int, clock: Clock, open_cap: int, reported: tuple[str, ...]) -> None:
+        self.clock, self.open_cap, self.report_names = clock, open_cap or 1 << 30, reported
+        self.router = Router(site, seed)
+        self.reports_in_answers = site.reports_in_answers
+        # A shot that has waited longer than a connection may take is decided anew.
+        self.stale_us = site.rules.connect_us + 100_000
+        self.pool: Pool | None = None
+        self.posts: dict[str, Post] = {}
+        self.visits: dict[str, Visit] = {}
+        self.queue: deque[Event] = deque()
+        self.closing_by, self.probes = 0, 0
+        self.counts = {"succeeded": 0, "turned back": 0, "written off": 0, "left": 0, "shots": 0}
+        self._wake: asyncio.Event = asyncio.Event()
+        self._tell: dict[type, Callable[..., None]] = {
+            Came: self._came, Left: self._left, Late: self._late, Due: self._due, Listed: self._listed,
+            Purged: self._purged, Probed: self._probed, Closing: self._closing, Closed: self._closed,
+            Ended: self._ended,
+        }
+        self._act: dict[str, Callable[[int, Decision], None]] = {
+            "shoot": self._shoot, "turn_back": self._turn_back, "write_off": self._write_off,
+            "withdraw": self._withdraw, "wake": self._set_timer, "follow": self._follow, "probe": self._probe,
+        }
+
+    def tell(self, event: Event) -> None:
+        """The one way in."""
+        self.queue.append(event)
+        self._wake.set()
+
+    def is_up(self, host: str) -> bool:
+        post = self.posts.get(host)
+        return post is not None and post.entry.state == "up"
+
+    async def run(self) -> None:
+        """Until it is cancelled, or the Router breaks: what it raised then comes out here."""
+        while True:
+            await self._wake.wait()
+            self._wake.clear()
+            self.turn()
+            await asyncio.sleep(0)
+
+    def turn(self) -> None:
+        now = self.clock.now()
+        for _ in range(len(self.queue)):
+            event = self.queue.popleft()
+            self._tell[type(event)](now, event)
+        while (decision := self.router.next_decision(now)) is not None:
+            self._act[decision.act](now, decision)
+
+    # What is told to the Router.
+
+    def _came(self, now: int, event: Came) -> None:
+        visit = event.visit
+        if visit.over:
+            return
+        if visit.id in self.visits:
+            visit.over = True
+            visit.exchange.write_off()
+            return
+        if len(self.visits) >= self.open_cap:
+            visit.over = True
+            self.counts["turned back"] += 1
+            visit.exchange.turn_back(0)
+            return
+        self.visits[visit.id] = visit
+        until = min(visit.until, self.closing_by) if self.closing_by else visit.until
+        self.router.visit_came(now, visit.id, visit.track, visit.thing, visit.part, visit.group, 0.0, until,
+                               visit.again)
+
+    def _left(self, now: int, event: Left) -> None:
+        visit = event.visit
+        if not visit.over:
+            self.counts["left"] += 1
+            self._over(visit)
+            self.router.client_left(now, visit.id)
+
+    def _over(self, visit: Visit) -> None:
+        visit.over = True
+        visit.body = b""
+        if self.visits.get(visit.id) is visit:
+            del self.visits[visit.id]
+
+    def _late(self, now: int, event: Late) -> None:
+        self._give_up(now, event.shot, "late", "unwritten")
+
+    def _give_up(self, now: int, shot: Shot, written: str, unwritten: str) -> None:
+        if not shot.over:
+            line = shot.line
+            sent = line is not None and line.give_up(shot.id, cachewire.drop(shot.id), shot.began)
+            self._ended(now, Ended(shot, written if sent else unwritten, None))
+
+    def _ended(self, now: int, event: Ended) -> None:
+        shot, how, answer = event
+        if shot.over:
+            return
+        shot.over, visit = True, shot.visit
+        if shot.timer is not None:
+            shot.timer.cancel()
+        visit.shots.pop(shot.number, None)
+        result = ENDINGS[how]
+        if result == Result.SUCCEEDED and answer is not None and not visit.over:
+            self._over(visit)
+            self.counts["succeeded"] += 1
+            visit.exchange.succeed(answer.body, how == "still_good")
+        report = answer.report(self.report_names) if answer and self.reports_in_answers else []
+        self.router.shot_ended(now, visit.id, shot.number, result, visit.over, now - shot.decided, -1,
+                               answer.note() if answer else 0, report)
+
+    def _due(self, now: int, event: Due) -> None:
+        self.router.timer_due(now, event.token)
+
+    def _listed(self, now: int, event: Listed) -> None:
+        entries = [target.entry() for target in event.targets]
+        named = {entry.host for entry in entries}
+        for host, post in self.posts.items():
+            if event.form == "whole" and host not in named:
+                post.entry = post.entry._replace(state="gone")
+                self._retire(host)
+        for target, entry in zip(event.targets, entries, strict=True):
+            address, held = target.address(), self.posts.get(entry.host)
+            if held is not None and (held.address != address or held.entry.started_us != entry.started_us
+                                     or entry.state == "gone"):
+                # Danger: a connection to a process that has gone is used for the one that came after it.
+                self._retire(entry.host)
+            self.posts[entry.host] = Post(entry, address)
+        self.router.hosts_listed(now, event.form, entries)
+
+    def _retire(self, host: str) -> None:
+        if self.pool is not None:
+            self.pool.retire(host)
+
+    def _purged(self, now: int, event: Purged) -> None:
+        self.router.purged(now, event.thing, event.group, max(0, now - event.made_us))
+
+    def _probed(self, now: int, event: Probed) -> None:
+        probe = event.probe
+        self.router.probe_answered(now, probe.host, event.good, now - probe.sent, event.report)
+
+    def _closing(self, now: int, event: Closing) -> None:
+        self.closing_by = event.by_us
+
+    def _closed(self, now: int, event: Closed) -> None:
+        for visit in list(self.visits.values()):
+            self._over(visit)
+            self.counts["written off"] += 1
+            visit.exchange.write_off()
+            self.router.client_left(now, visit.id)
+
+    # What the Router decides.
+
+    def _shoot(self, now: int, decision: Decision) -> None:
+        visit = self.visits[decision.visit]
+        shot = Shot(self, visit, decision, now)
+        visit.shots[shot.number] = shot
+        self.counts["shots"] += 1
+        loop = asyncio.get_running_loop()
+        shot.timer = loop.call_later(decision.within_us / 1e6, self.tell, Late(shot))
+        shot.line = self._send(decision.host, shot, request(visit, decision))
+
+    def _send(self, host: str, errand: Shot | Probe, data: bytes) -> Line | None:
+        post = self.posts[host]
+        line = self.pool.send(host, post.address, errand, data) if self.pool is not None else None
+        if line is None:
+            errand.failed("withheld")
+        return line
+
+    def _turn_back(self, now: int, decision: Decision) -> None:
+        visit = self.visits[decision.visit]
+        self._over(visit)
+        self.counts["turned back"] += 1
+        visit.exchange.turn_back(decision.wait_us)
+
+    def _write_off(self, now: int, decision: Decision) -> None:
+        visit = self.visits[decision.visit]
+        self._over(visit)
+        self.counts["written off"] += 1
+        visit.exchange.write_off()
+
+    def _withdraw(self, now: int, decision: Decision) -> None:
+        visit = self.visits.get(decision.visit)
+        shot = visit.shots.get(decision.shot) if visit else None
+        if shot is not None and not shot.over:
+            line = shot.line
+            sent = line is not None and line.give_up(shot.id, cachewire.drop(shot.id), shot.began)
+            self.tell(Ended(shot, "withdrawn" if sent else "withheld", None))
+
+    def _set_timer(self, now: int, decision: Decision) -> None:
+        asyncio.get_running_loop().call_later(decision.wait_us / 1e6, self.tell, Due(decision.token))
+
+    def _follow(self, now: int, decision: Decision) -> None:
+        """The change log is always followed, and taken up again by itself: its next event is the answer."""
+
+    def _probe(self, now: int, decision: Decision) -> None:
+        self.probes += 1
+        probe = Probe(self, decision.host, self.probes, now)
+        self._send(decision.host, probe, cachewire.load(probe.id))
--- /dev/null
+++ b/hoistplank/routing/shots.py
@@ -0,0 +1,124 @@
+"""Visits and shots as the owner holds them, and what each way to end a shot means to the Router."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, NamedTuple, Protocol
+
+from hoistplank.interface import Decision, Result
+from hoistplank.protocol import cachewire
+from hoistplank.protocol.cachewire import Answer
+from hoistplank.transport.pool import Line
+
+if TYPE_CHECKING:
+    from hoistplank.routing.owner import Owner
+
+# Each way for a shot to end, and the result that it is told as. The first three and `withheld` prove that it
+# never ran; a break or silence once it was written whole proves nothing.
+ENDINGS = {
+    "refused": Result.NO_CONNECTION,  # the cache host's machine turned the connection down
+    "not up": Result.NO_CONNECTION,  # no connection within the site's time-out
+    "unwritten": Result.NO_CONNECTION,  # the connection ended before the request was written whole
+    "withheld": Result.NEVER_SENT,  # taken back before its first byte
+    "broken": Result.BROKEN,  # the connection ended after it was written
+    "late": Result.LATE,
+    "withdrawn": Result.WITHDRAWN,
+    "served": Result.SUCCEEDED,
+    "still_good": Result.SUCCEEDED,
+    "not_here": Result.MISS,
+    "overload": Result.FULL,
+    "crashed": Result.ERROR,
+    "nobody": Result.NEVER_SENT,
+}
+
+
+class Exchange(Protocol):
+    """The client's side of a visit. The first of these calls is its answer; it comes once."""
+
+    def succeed(self, body: bytes, unchanged: bool) -> None: ...
+    def turn_back(self, wait_us: int) -> None: ...
+    def write_off(self) -> None: ...
+
+
+@dataclass(slots=True, eq=False)
+class Visit:
+    """A visit that was taken: what the client sent, and its shots that are out."""
+
+    exchange: Exchange
+    id: str
+    track: str
+    thing: str
+    part: int
+    group: int
+    key: str
+    holds: str
+    body: bytes
+    until: int
+    again: bool
+    over: bool = False
+    shots: dict[int, Shot] = field(default_factory=dict)
+
+
+class Shot:
+    """A shot on its way: an errand of the pool's. Tells its owner once how it ended."""
+
+    def __init__(self, owner: Owner, visit: Visit, decision: Decision, now: int) -> None:
+        self.owner, self.visit, self.id, self.number = owner, visit, visit.id, decision.shot
+        self.host, self.source, self.decided = decision.host, decision.source, now
+        self.began = asyncio.get_running_loop().time()
+        self.line: Line | None = None
+        self.timer: asyncio.TimerHandle | None = None
+        self.over = False
+
+    def may_begin(self) -> bool:
+        """Asked just before the first byte: waiting for a connection may have made the shot out of date.
+
+        Danger: a drain's grace, a cold budget or a purge's grace passes while a connection is not yet up.
+        """
+        if self.over or self.visit.over or not self.owner.is_up(self.host):
+            return False
+        if self.source and not self.owner.is_up(self.source):
+            return False
+        return self.owner.clock.now() - self.decided <= self.owner.stale_us
+
+    def written(self) -> None:
+        """Nothing to do: the line knows it when it is asked."""
+
+    def failed(self, how: str) -> None:
+        self.owner.tell(Ended(self, how, None))
+
+    def answered(self, answer: Answer) -> None:
+        self.owner.tell(Ended(self, answer.word, answer))
+
+
+class Ended(NamedTuple):
+    shot: Shot
+    how: str
+    answer: Answer | None
+
+
+def request(visit: Visit, decision: Decision) -> bytes:
+    """The bytes of a shot. A cache host that is its own source is to fill nothing: no source is named."""
+    fields = {
+        "queue": visit.track,
+        "path": visit.thing,
+        "blk": str(visit.part),
+        "budget": str(max(1, decision.within_us // 1000)),
+    }
+    if visit.key:
+        fields["uniq"] = visit.key
+    if decision.source:
+        if decision.source != decision.host:
+            fields["parent"] = decision.source
+        if decision.keep:
+            fields["shelf"] = str(decision.keep)
+        if decision.oldest_us > 0:
+            # Rounded down: never an older copy than was decided, and never 0, which would mean the usual age.
+            fields["accept"] = str(max(1, decision.oldest_us // 1000))
+        hints = ["wait-for"] * decision.join + ["background"] * decision.renew
+        if hints:
+            fields["hints"] = "+".join(hints)
+    if visit.holds:
+        fields["got"] = visit.holds
+    return cachewire.get(visit.id, fields, visit.body)
--- /dev/null
+++ b/hoistplank/transport/pool.py
@@ -0,0 +1,218 @@
+"""Connections to cache hosts, shared by shots: opened on demand, closed when idle, never for another host."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections.abc import Callable, Iterable
+from typing import Protocol
+
+from hoistplank.transport.connection import Connection
+from hoistplank.transport.ledger import Ledger
+
+MOST_IN = 524_288  # an answer of 240,000 bytes with its line, and the start of the next
+MOST_OUT = 4_194_304
+MOST_LINES = 16  # connections to one cache host; at 32 shots each already more than any should carry
+# Ids of given-up shots that a line remembers, lest a late answer be taken for that of a later shot.
+MOST_DROPPED = 4_096
+
+
+class Errand(Protocol):
+    """What goes over a line under an id, and is told how it ended: once, with a word from `Pool`."""
+
+    id: str
+
+    def may_begin(self) -> bool: ...
+    def written(self) -> None: ...
+    def failed(self, how: str) -> None: ...
+
+
+class Line:
+    """One connection to one cache host, from before it is up until it has ended."""
+
+    def __init__(self, pool: Pool, host: str, address: tuple[str, int]) -> None:
+        self.pool, self.host, self.address = pool, host, address
+        self.open: dict[str, Errand] = {}
+        self.begun: set[str] = set()
+        self.sent: set[str] = set()
+        self.dropped: dict[str, None] = {}
+        self.waiting: list[tuple[Errand, bytes]] = []
+        self.connection: Connection | None = None
+        self.retired, self.over = False, False
+        self.idle_since = pool.loop.time()
+        self.task = pool.loop.create_task(self._run())
+        self.task.add_done_callback(self._ended)
+
+    def send(self, errand: Errand, data: bytes) -> None:
+        self.open[errand.id] = errand
+        if self.connection is None:
+            self.waiting.append((errand, data))
+        else:
+            self._pass(self.connection, errand, data)
+
+    def _pass(self, connection: Connection, errand: Errand, data: bytes) -> None:
+        def begin() -> bool:
+            if self.open.get(errand.id) is not errand:
+                return False  # given up before its first byte
+            if not errand.may_begin():
+                self.end(errand.id)
+                errand.failed("withheld")
+                return False
+            self.begun.add(errand.id)
+            return True
+
+        def written() -> None:
+            if self.open.get(errand.id) is errand:
+                self.sent.add(errand.id)
+                errand.written()
+
+        connection.send(data, begin, written)
+
+    def end(self, id: str) -> Errand | None:
+        """An errand is over, by its answer or without one; a retired line goes with its last."""
+        errand = self.open.pop(id, None)
+        self.begun.discard(id)
+        self.sent.discard(id)
+        if not self.open:
+            self.idle_since = self.pool.loop.time()
+            if self.retired:
+                self.close()
+        return errand
+
+    def give_up(self, id: str, farewell: bytes, since: float) -> bool:
+        """Ends an errand and tells the cache host; whether its bytes were all with the system.
+
+        A line on which nothing has been heard since the errand began may be dead: it gets no new ones.
+        """
+        sent = id in self.sent
+        if self.connection is not None and self.connection.heard_at < since:
+            self.retired = True
+        if id in self.begun:
+            self.dropped[id] = None
+            if len(self.dropped) > MOST_DROPPED:
+                del self.dropped[next(iter(self.dropped))]
+            if self.connection is not None:
+                self.connection.send(farewell)
+        # The farewell goes out before a retired line closes: closing gives up all that is open on it anyway.
+        self.end(id)
+        return sent
+
+    def close(self) -> None:
+        if not self.over:
+            self.over = True
+            self.pool.forget(self)
+            if self.connection is not None:
+                self.connection.close()
+            else:
+                self.task.cancel()
+
+    async def _run(self) -> str:
+        how = await self._connect()
+        if self.connection is not None:
+            wrong = await self.connection.run()
+            if wrong is not None and not isinstance(wrong, OSError):
+                self.pool.complain(self.host, wrong)
+        return how
+
+    def _ended(self, task: asyncio.Task[str]) -> None:
+        """However it ended, even before its first step: gives the descriptor back and ends all errands."""
+        self.over = True
+        self.pool.forget(self)
+        self.pool.ledger.give("cache host")
+        how = "unwritten"
+        if not task.cancelled():
+            wrong = task.exception()
+            if wrong is not None:
+                self.pool.complain(self.host, wrong)
+            elif task.result() != "up":
+                how = task.result()
+        for id in list(self.open):
+            sent, errand = id in self.sent, self.end(id)
+            if errand is not None:
+                errand.failed("broken" if sent else how)
+
+    async def _connect(self) -> str:
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        sock.setblocking(False)
+        try:
+            async with asyncio.timeout(self.pool.connect_s):
+                await self.pool.loop.sock_connect(sock, self.address)
+        except TimeoutError:
+            sock.close()
+            return "not up"
+        except OSError:
+            sock.close()
+            return "refused"
+        except BaseException:
+            sock.close()
+            raise
+        reader = self.pool.make_reader(self)
+        self.connection = Connection(sock, reader, MOST_IN, MOST_OUT)
+        waiting, self.waiting = self.waiting, []
+        for errand, data in waiting:
+            self._pass(self.connection, errand, data)
+        return "up"
+
+
+class Pool:
+    """All lines, by the uid of their cache host."""
+
+    def __init__(self, ledger: Ledger, streams: int, idle_s: float, connect_s: float,
+                 make_reader: Callable[[Line], Callable[[bytearray, int, int], int]],
+                 complain: Callable[[str, BaseException], None]) -> None:
+        self.loop = asyncio.get_running_loop()
+        self.ledger, self.streams, self.connect_s = ledger, max(1, streams), connect_s
+        # Closed well before the cache host does it: a request that crosses its close would be lost.
+        self.idle_s = idle_s * 0.6
+        self.make_reader, self.complain = make_reader, complain
+        self.lines: dict[str, list[Line]] = {}
+        ledger.reclaimers.append(self.reclaim)
+
+    def send(self, host: str, address: tuple[str, int], errand: Errand, data: bytes) -> Line | None:
+        """Hands an errand to the line with the fewest; None where no line can be had."""
+        lines = self.lines.setdefault(host, [])
+        fit = [line for line in lines if not line.retired and len(line.open) < self.streams
+               and errand.id not in line.open and errand.id not in line.dropped]
+        if fit:
+            line = min(fit, key=lambda line: (line.connection is None, len(line.open)))
+        elif len(lines) < MOST_LINES and self.ledger.take("cache host"):
+            line = Line(self, host, address)
+            lines.append(line)
+        else:
+            return None
+        line.send(errand, data)
+        return line
+
+    def forget(self, line: Line) -> None:
+        lines = self.lines.get(line.host, [])
+        if line in lines:
+            lines.remove(line)
+            if not lines:
+                del self.lines[line.host]
+
+    def retire(self, host: str) -> None:
+        """No new errand goes over the lines that this host has now; each ends with its last."""
+        for line in list(self.lines.get(host, ())):
+            line.retired = True
+            if not line.open:
+                line.close()
+
+    def _all(self) -> Iterable[Line]:
+        return [line for lines in self.lines.values() for line in lines]
+
+    def sweep(self) -> None:
+        """Closes what has been idle for as long as the site says."""
+        until = self.loop.time() - self.idle_s
+        for line in self._all():
+            if not line.open and line.idle_since < until:
+                line.close()
+
+    def reclaim(self) -> None:
+        """Closes the line that has been idle longest."""
+        idle = [line for line in self._all() if not line.open and line.connection is not None]
+        if idle:
+            min(idle, key=lambda line: line.idle_since).close()
+
+    def close(self) -> None:
+        for line in self._all():
+            line.close()
