--- a/hoistplank/routing/owner.py
+++ b/hoistplank/routing/owner.py
@@ -20,8 +20,8 @@
 
 log = structlog.get_logger()
 
-# Events that may wait for a turn: some 0.1 s of work, several times what the busiest tick of a day brings.
-MOST_WAITING = 400
+# Events that may wait for a turn: some 50 ms of work, many times what the busiest tick of a day brings.
+MOST_WAITING = 250
 
 
 class Came(NamedTuple):
@@ -144,7 +144,7 @@
             # What comes within a tick of the site is taken together: fewer turns, and writes in one call.
             await asyncio.sleep(self.tick_s)
             lag = self.clock.now() - slept - int(self.tick_s * 1e6)
-            self.lag_us = max(lag, self.lag_us - self.lag_us // 64)
+            self.lag_us = max(lag, self.lag_us - self.lag_us // 8)
 
     def turn(self) -> None:
         now = self.clock.now()
@@ -174,8 +174,9 @@
             return
         self.visits[visit.id] = visit
         # Danger: a loop that lags sees a visit late and carries out its last answer late. The outer limit
-        # is taken earlier by both; below 10 ms the rules' own slack covers it.
-        until = visit.until - (2 * self.lag_us if self.lag_us > 10_000 else 0)
+        # is taken earlier by that; below 10 ms the rules' own slack covers it. At most 0.1 s: a process that
+        # stood still for longer once would else refuse all that has little time.
+        until = visit.until - (min(self.lag_us, 100_000) if self.lag_us > 10_000 else 0)
         if self.closing_by:
             until = min(until, self.closing_by)
         self.router.visit_came(now, visit.id, visit.track, visit.thing, visit.part, visit.group, 0.0, until,
--- /dev/null
+++ b/tests/test_protocol.py
@@ -0,0 +1,176 @@
+"""The parsers: whole messages cut at every byte, and bad bytes, each with its complaint."""
+
+import struct
+from collections.abc import Callable, Iterator
+from typing import Any
+
+import pytest
+
+from hoistplank.protocol import cachewire, changelog, fastcgi
+from hoistplank.protocol.errors import BadBytes
+
+LONG = "v" * 300
+PARAMS = b"".join(
+    fastcgi.pair(name.encode(), value.encode())
+    for name, value in {
+        "SCRIPT_NAME": "/api/v2/page",
+        "HTTP_X_CHUNK": "3",
+        "L" * 200: LONG,
+        "EMPTY": "",
+    }.items()
+)
+
+
+def begin(number: int, role: int = 1, flags: int = 1) -> bytes:
+    return fastcgi.record(fastcgi.BEGIN, number, struct.pack(">HB5x", role, flags))
+
+
+def padded(kind: int, number: int, content: bytes) -> bytes:
+    return fastcgi.HEADER.pack(1, kind, number, len(content), 5) + content + b"\0" * 5
+
+
+# Two requests whose records are interleaved and padded, parameters in pieces, empty records said twice.
+TWO = b"".join(
+    (
+        begin(1),
+        begin(2),
+        fastcgi.record(fastcgi.PARAMS, 1, PARAMS[:7]),
+        padded(fastcgi.PARAMS, 2, PARAMS),
+        fastcgi.record(fastcgi.PARAMS, 1, PARAMS[7:]),
+        fastcgi.record(fastcgi.PARAMS, 2),
+        fastcgi.record(fastcgi.PARAMS, 2),
+        padded(fastcgi.STDIN, 2, b"\0\r\n" * 9),
+        fastcgi.record(fastcgi.PARAMS, 1),
+        fastcgi.record(fastcgi.STDIN, 1),
+        fastcgi.record(fastcgi.STDIN, 1),
+        fastcgi.record(fastcgi.STDIN, 2),
+    )
+)
+ANSWERS = (
+    b"0123456789abcdef served detail=hit,digest=4be0,dated=1764576000123,use=inflight:7;util:0.61 8\r\n"
+    b"a\r\nb\0\r\nc\r\n"
+    b"00 not_here - 0\r\n\r\n"
+    b"t1 green\r\n"
+    b"01 still_good digest=aa 0\r\n\r\n"
+)
+LINES = (
+    b'{"seq":41,"fleet":{"rev":7,"all":false,"new":1,"targets":[{"uid":"s-1","endpoint":"10.1.0.9:5050",'
+    b'"az":"east","model":"std","pod_group":2,"state":"draining","capacity_hint":4,"boot_ms":17}]}}\n41\n'
+    b'{"seq":42,"invalidate":{"object":"7f3a9c21e0b4d655","time":1764576000123}}\n'
+)
+
+
+def cut(reader: Any, data: bytes, at: int) -> list[Any]:
+    """What a reader finds when the data comes in two parts."""
+    buffer, start, found = bytearray(data), 0, list[Any]()
+    for end in (at, len(data)):
+        while True:
+            start, more = reader.read(buffer, start, end)
+            found += more
+            if not more:
+                break
+    assert start == len(data)
+    return found
+
+
+def everywhere(make: Callable[[], Any], data: bytes) -> Iterator[list[Any]]:
+    for at in range(len(data) + 1):
+        yield cut(make(), data, at)
+
+
+def test_requests_cut_anywhere() -> None:
+    for first, second in everywhere(lambda: fastcgi.Reader(32), TWO):
+        assert (first.request.number, first.request.body, second.request.body) == (1, b"", b"\0\r\n" * 9)
+        for whole in (first, second):
+            fields = whole.request.fields()
+            assert (
+                fields["SCRIPT_NAME"] == "/api/v2/page"
+                and fields["L" * 200] == LONG
+                and fields["EMPTY"] == ""
+            )
+
+
+def test_answers_cut_anywhere() -> None:
+    for served, missed, probed, unchanged in everywhere(cachewire.Reader, ANSWERS):
+        assert (served.body, served.note()) == (b"a\r\nb\0\r\nc", 1)
+        assert served.report(("rif", "busy")) == [7.0, 0.61] and served.report(("x0",)) == []
+        assert (missed.id, missed.word, missed.body) == ("00", "not_here", b"")
+        assert (probed.id, probed.word, unchanged.word) == ("t1", "green", "still_good")
+
+
+def test_change_log_cut_anywhere() -> None:
+    for listed, number, purged in everywhere(changelog.Reader, LINES):
+        entry = listed.fleet.targets[0].entry()
+        assert entry == ("s-1", "east", "std", 2, 4.0, 17_000, "draining") and number == 41
+        assert (purged.invalidate.object, purged.seq) == ("7f3a9c21e0b4d655", 42)
+
+
+@pytest.mark.parametrize(
+    "make, data, told",
+    [
+        (lambda: fastcgi.Reader(2), b"GET / HTTP/1.1\r\n\r\n", "version 71"),
+        (lambda: fastcgi.Reader(2), begin(1) + begin(1), "begins while it is open"),
+        (lambda: fastcgi.Reader(2), fastcgi.record(1, 1, b"\0"), "too short"),
+        (lambda: fastcgi.Reader(2), fastcgi.record(9, 0, b"\x05\x05ab"), "longer than what was sent"),
+        (cachewire.Reader, b"01 fine - 0\r\n\r\n", "unknown word 'fine'"),
+        (cachewire.Reader, b"01 served - 240001\r\n", "length '240001'"),
+        (cachewire.Reader, b"01 served - -1\r\n", "length '-1'"),
+        (cachewire.Reader, b"01 served x 3\r\n", "'x' without a value"),
+        (cachewire.Reader, b"01 served - 1\r\nabc\r\n", "not followed by CR LF"),
+        (cachewire.Reader, b"01\r\n", "1 words"),
+        (cachewire.Reader, b"x" * 5000, "too long"),
+        (changelog.Reader, b"{no json\n", "can't be read"),
+        (changelog.Reader, b'{"seq":"a"}\n', "seq"),
+        (changelog.Reader, LINES.replace(b"draining", b"asleep"), "unknown state 'asleep'"),
+        (changelog.Reader, LINES.replace(b":5050", b":x"), "no address"),
+    ],
+)
+def test_bad_bytes_are_named(make: Callable[[], Any], data: bytes, told: str) -> None:
+    with pytest.raises(BadBytes, match=told):
+        cut(make(), data, len(data))
+
+
+@pytest.mark.parametrize("data", [b"\x05", b"\x05\x85\0", b"\x03\x01ab", b"\x84\0\0"])
+def test_short_parameters_are_named(data: bytes) -> None:
+    with pytest.raises(BadBytes, match="a parameter"):
+        fastcgi.pairs(data)
+
+
+def test_protocol_answers_by_itself() -> None:
+    reader = fastcgi.Reader(1)
+    data = b"".join(
+        (
+            fastcgi.record(
+                fastcgi.GET_VALUES, 0, fastcgi.pair(b"FCGI_MPXS_CONNS", b"") + fastcgi.pair(b"OTHER", b"")
+            ),
+            fastcgi.record(77, 0),
+            begin(5, role=2),
+            begin(1),
+            begin(2),
+            fastcgi.record(fastcgi.STDIN, 9, b"x"),
+            fastcgi.record(8, 1, b"data"),
+            fastcgi.record(fastcgi.ABORT, 1),
+            fastcgi.record(fastcgi.ABORT, 1),
+        )
+    )
+    replies = cut(reader, data, len(data))
+    assert [event.data for event in replies[:-1]] == [
+        fastcgi.record(fastcgi.GET_VALUES_RESULT, 0, fastcgi.pair(b"FCGI_MPXS_CONNS", b"1")),
+        fastcgi.record(fastcgi.UNKNOWN_TYPE, 0, b"\x4d" + bytes(7)),
+        fastcgi.ended(5, 0, fastcgi.UNKNOWN_ROLE),
+        fastcgi.ended(2, 0, fastcgi.OVERLOADED),
+    ]
+    assert replies[-1] == fastcgi.Aborted(1, False)
+
+
+def test_large_answer_is_split_into_records() -> None:
+    body, data, at, out = bytes(range(256)) * 900, b"", 0, b""
+    data = fastcgi.answer(3, 200, (("X-Valid", "1"),), body)
+    while at < len(data):
+        version, kind, number, length, padding = fastcgi.HEADER.unpack_from(data, at)
+        assert (version, number) == (1, 3)
+        out += data[at + 8 : at + 8 + length] if kind == fastcgi.STDOUT else b""
+        at += 8 + length + padding
+    head, _, rest = out.partition(b"\r\n\r\n")
+    assert rest == body and head.startswith(b"Status: 200\r\n") and b"X-Valid: 1" in head
+    assert kind == fastcgi.END
