--- a/hoistplank/routing/owner.py
+++ b/hoistplank/routing/owner.py
@@ -6,7 +6,6 @@
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
-from heapq import heappop, heappush
 from typing import NamedTuple
 
 import structlog
@@ -21,10 +20,8 @@
 
 log = structlog.get_logger()
 
-# Visits that a turn takes in: some 30 ms of work, ten times what the busiest tick of a day brings.
-MOST_TAKEN = 100
-# While a time-out is set, a turn comes at least this often: a tenth of the rules' slack.
-LOOK_S = 0.005
+# Events that may wait for a turn: some 50 ms of work, many times what the busiest tick of a day brings.
+MOST_WAITING = 250
 
 
 class Came(NamedTuple):
@@ -35,6 +32,10 @@
     visit: Visit
 
 
+class Late(NamedTuple):
+    shot: Shot
+
+
 class Due(NamedTuple):
     token: int
 
@@ -66,7 +67,7 @@
     """What is still open is written off."""
 
 
-Event = Came | Left | Due | Listed | Purged | Probed | Closing | Closed | Ended
+Event = Came | Left | Late | Due | Listed | Purged | Probed | Closing | Closed | Ended
 
 
 @dataclass(slots=True)
@@ -102,10 +103,7 @@
         self.clock, self.open_cap, self.report_names = clock, open_cap or 1 << 30, reported
         self.router = Router(site, seed)
         self.stay_away_us = site.rules.max_return_us // 2 * site.rules.may_name_return
-        self.taken, self.lag_us = 0, 0
-        # One heap for all time-outs: a timer of the loop's own for each shot costs several times as much.
-        self.time_outs: list[tuple[int, int, Shot]] = []
-        self.timed, self.looking = 0, False
+        self.crowded, self.lag_us = False, 0
         self.tick_s = min(0.002, site.tick_us / 1e6)
         self.reports_in_answers = site.reports_in_answers
         # A shot that has waited longer than a connection may take is decided anew.
@@ -118,7 +116,7 @@
         self.counts = {"succeeded": 0, "turned back": 0, "written off": 0, "left": 0, "shots": 0}
         self._wake: asyncio.Event = asyncio.Event()
         self._tell: dict[type, Callable[..., None]] = {
-            Came: self._came, Left: self._left, Due: self._due, Listed: self._listed,
+            Came: self._came, Left: self._left, Late: self._late, Due: self._due, Listed: self._listed,
             Purged: self._purged, Probed: self._probed, Closing: self._closing, Closed: self._closed,
             Ended: self._ended,
         }
@@ -138,11 +136,7 @@
 
     async def run(self) -> None:
         """Until it is cancelled, or the Router breaks: what it raised then comes out here."""
-        loop = asyncio.get_running_loop()
         while True:
-            if self.time_outs and not self.looking:
-                self.looking = True
-                loop.call_later(LOOK_S, self._look)
             await self._wake.wait()
             self._wake.clear()
             self.turn()
@@ -152,18 +146,12 @@
             lag = self.clock.now() - slept - int(self.tick_s * 1e6)
             self.lag_us = max(lag, self.lag_us - self.lag_us // 8)
 
-    def _look(self) -> None:
-        self.looking = False
-        self._wake.set()
-
     def turn(self) -> None:
         now = self.clock.now()
-        self.taken = 0
+        self.crowded = len(self.queue) > MOST_WAITING
         for _ in range(len(self.queue)):
             event = self.queue.popleft()
             self._tell[type(event)](now, event)
-        while self.time_outs and self.time_outs[0][0] <= now:
-            self._late(now, heappop(self.time_outs)[2])  # after the queue: an answer that is here counts
         while (decision := self.router.next_decision(now)) is not None:
             self._act[decision.act](now, decision)
 
@@ -177,8 +165,7 @@
             visit.over = True
             visit.exchange.write_off()
             return
-        self.taken += 1
-        if len(self.visits) >= self.open_cap or self.taken > MOST_TAKEN:
+        if len(self.visits) >= self.open_cap or self.crowded:
             # Danger: more than the core can do comes in, all answers come late, and clients ask again. What
             # no shot was made for costs little to turn back at once; it harms where one burst comes alone.
             visit.over = True
@@ -208,19 +195,22 @@
         if self.visits.get(visit.id) is visit:
             del self.visits[visit.id]
 
-    def _late(self, now: int, shot: Shot) -> None:
-        if not shot.over:
-            self._ended(now, Ended(shot, "late" if self._give_up(shot) else "unwritten", None))
+    def _late(self, now: int, event: Late) -> None:
+        self._give_up(now, event.shot, "late", "unwritten")
 
-    def _give_up(self, shot: Shot) -> bool:
-        """Tells the cache host; whether the shot had been written whole."""
-        return shot.line is not None and shot.line.give_up(shot.id, cachewire.drop(shot.id), shot.began)
+    def _give_up(self, now: int, shot: Shot, written: str, unwritten: str) -> None:
+        if not shot.over:
+            line = shot.line
+            sent = line is not None and line.give_up(shot.id, cachewire.drop(shot.id), shot.began)
+            self._ended(now, Ended(shot, written if sent else unwritten, None))
 
     def _ended(self, now: int, event: Ended) -> None:
         shot, how, answer = event
         if shot.over:
             return
         shot.over, visit = True, shot.visit
+        if shot.timer is not None:
+            shot.timer.cancel()
         visit.shots.pop(shot.number, None)
         result = ENDINGS[how]
         if result == Result.SUCCEEDED and answer is not None and not visit.over:
@@ -278,8 +268,8 @@
         shot = Shot(self, visit, decision, now)
         visit.shots[shot.number] = shot
         self.counts["shots"] += 1
-        self.timed += 1
-        heappush(self.time_outs, (now + decision.within_us, self.timed, shot))
+        loop = asyncio.get_running_loop()
+        shot.timer = loop.call_later(decision.within_us / 1e6, self.tell, Late(shot))
         shot.line = self._send(decision.host, shot, request(visit, decision))
 
     def _send(self, host: str, errand: Shot | Probe, data: bytes) -> Line | None:
@@ -305,7 +295,9 @@
         visit = self.visits.get(decision.visit)
         shot = visit.shots.get(decision.shot) if visit else None
         if shot is not None and not shot.over:
-            self.tell(Ended(shot, "withdrawn" if self._give_up(shot) else "withheld", None))
+            line = shot.line
+            sent = line is not None and line.give_up(shot.id, cachewire.drop(shot.id), shot.began)
+            self.tell(Ended(shot, "withdrawn" if sent else "withheld", None))
 
     def _set_timer(self, now: int, decision: Decision) -> None:
         asyncio.get_running_loop().call_later(decision.wait_us / 1e6, self.tell, Due(decision.token))
--- a/hoistplank/routing/shots.py
+++ b/hoistplank/routing/shots.py
@@ -68,6 +68,7 @@
         self.host, self.source, self.decided = decision.host, decision.source, now
         self.began = asyncio.get_running_loop().time()
         self.line: Line | None = None
+        self.timer: asyncio.TimerHandle | None = None
         self.over = False
 
     def may_begin(self) -> bool:
--- a/hoistplank/transport/connection.py
+++ b/hoistplank/transport/connection.py
@@ -33,12 +33,10 @@
     16 us; so sock_sendall only finishes what a first send leaves.
     """
 
-    def __init__(
-        self, sock: socket.socket, consume: Consume, most_in: int, most_out: int, first_in: int = SMALL
-    ) -> None:
+    def __init__(self, sock: socket.socket, consume: Consume, most_in: int, most_out: int) -> None:
         self.loop = asyncio.get_running_loop()
         self.sock, self.consume, self.most_in, self.most_out = sock, consume, most_in, most_out
-        self.buffer, self.start, self.end = bytearray(first_in), 0, 0
+        self.buffer, self.start, self.end = bytearray(SMALL), 0, 0
         self.out, self.out_bytes = deque[Outgoing](), 0
         self.closing, self.finishing = False, False
         self.heard_at = self.loop.time()
--- a/hoistplank/transport/pool.py
+++ b/hoistplank/transport/pool.py
@@ -11,9 +11,6 @@
 from hoistplank.transport.ledger import Ledger
 
 MOST_IN = 524_288  # an answer of 240,000 bytes with its line, and the start of the next
-# Danger: a buffer that holds a few answers is filled once a turn of the loop, so that a busy dispatcher takes
-# but a few a turn, however many wait. This holds some twenty of the mean; 30 connections hold 8 MB.
-FIRST_IN = 262_144
 MOST_OUT = 4_194_304
 MOST_LINES = 16  # connections to one cache host; at 32 shots each already more than any should carry
 # Ids of given-up shots that a line remembers, lest a late answer be taken for that of a later shot.
@@ -155,7 +152,7 @@
             sock.close()
             raise
         reader = self.pool.make_reader(self)
-        self.connection = Connection(sock, reader, MOST_IN, MOST_OUT, FIRST_IN)
+        self.connection = Connection(sock, reader, MOST_IN, MOST_OUT)
         waiting, self.waiting = self.waiting, []
         for errand, data in waiting:
             self._pass(self.connection, errand, data)
