SIGHUP moves to the new change log; the drain ends by the settings' outer limits

Seen: on reload the dispatcher ended on the first SIGHUP (exit 129, 38 visits lost): program/service.py installed no handler. Changed: service.py reads the file again through berth.py, names keys that can't change while running, and routing/listing.py moves at once from the last number held.

--- a/hoistplank/program/berth.py
+++ b/hoistplank/program/berth.py
@@ -48,6 +48,7 @@
 class Berth:
     """What this dispatcher is told of its place, checked."""
 
+    written: Written
     name: str
     listen: tuple[str, int]
     changelog: tuple[str, int]
@@ -95,6 +96,17 @@
     return made
 
 
+def read_again(environment: Mapping[str, str]) -> Berth:
+    """At a reload: what the environment says of name and address held for the start."""
+    return read({"EDGE_CONFIG": environment.get("EDGE_CONFIG", "")})
+
+
+def fixed(old: Berth, new: Berth) -> list[str]:
+    """The keys of a file read again that differ and can't be changed while the program runs."""
+    keys = ("name", "listen", "limits", "settings")
+    return [key for key in keys if getattr(old.written, key) != getattr(new.written, key)]
+
+
 def read(environment: Mapping[str, str]) -> Berth:
     path = environment.get("EDGE_CONFIG", "")
     if not path:
@@ -124,6 +136,7 @@
     facts.pairs = flat(written.settings)
     try:
         return Berth(
+            written=written,
             name=written.name,
             listen=_address("listen", written.listen),
             changelog=_address("changelog", written.changelog),
--- a/hoistplank/program/service.py
+++ b/hoistplank/program/service.py
@@ -8,12 +8,13 @@
 import gc
 import resource
 import signal
+from collections.abc import Callable, Sequence
 from random import Random
 from typing import Any
 
 import structlog
 
-from hoistplank.program.berth import Berth
+from hoistplank.program.berth import BadConfiguration, Berth, fixed
 from hoistplank.routing.caches import answers_of
 from hoistplank.routing.clock import Clock
 from hoistplank.routing.front import Front
@@ -27,8 +28,9 @@
 
 # After SIGTERM new connections come for up to 0.4 s and requests on open ones for 0.2 s more; 0.3 s spare.
 WINDOWS_S = 0.9
-# SIGKILL comes 3.7 s after SIGTERM at the soonest: what is open is answered, and the bytes are out, by then.
-LAST_ANSWER_S, LAST_BYTE_S = 3.2, 3.5
+# SIGKILL comes no sooner than the longest outer limit, 3 s at most, and 0.7 s more after SIGTERM. What is
+# open is answered in the first part of that 0.7 s, and the bytes are out in the second.
+LONGEST_S, ANSWER_S, BYTE_S = 3.0, 0.25, 0.5
 SWEEP_S = 0.5
 
 
@@ -40,8 +42,11 @@
 
 
 class Service:
-    def __init__(self, berth: Berth) -> None:
+    def __init__(self, berth: Berth, read_again: Callable[[], Berth], early: Sequence[int] = ()) -> None:
         self.berth, self.phase, self.code = berth, Phase.STARTING, 0
+        self.read_again, self.early = read_again, early
+        outer_s = min(LONGEST_S, max(row.outer_us for row in berth.site.tariffs) / 1e6)
+        self.last_answer_s, self.last_byte_s = outer_s + ANSWER_S, outer_s + BYTE_S
         self.loop = asyncio.get_running_loop()
         self.ledger = Ledger(berth.sockets)
         self.owner = Owner(berth.site, berth.seed, Clock(), berth.open_cap, berth.reported)
@@ -52,7 +57,7 @@
         self.front = Front(self.owner, berth.site, self.ledger, lambda: self.phase is Phase.SERVING)
         self.listing = Listing(self.owner, berth.changelog, berth.known, Random(berth.seed))
         self.listener = Listener(berth.listen, self.ledger, self.front.greet)
-        self.terminated = asyncio.Event()
+        self.terminated, self.renewed = asyncio.Event(), asyncio.Event()
 
     def enter(self, phase: Phase) -> None:
         self.phase = phase
@@ -64,10 +69,14 @@
         """Serves until SIGTERM and the drain after it, or until a part breaks. Returns the exit code."""
         for number in (signal.SIGTERM, signal.SIGINT):
             self.loop.add_signal_handler(number, self.terminated.set)
+        self.loop.add_signal_handler(signal.SIGHUP, self.renewed.set)
+        if self.early:
+            self.renewed.set()
         self.loop.set_exception_handler(self._complain)
         parts = [self.loop.create_task(part, name=name) for name, part in (
             ("owner", self.owner.run()), ("listener", self.listener.run()),
-            ("change log", self.listing.run()), ("sweep", self._sweep()), ("phases", self._phases()))]
+            ("change log", self.listing.run()), ("reload", self._reload()),
+            ("sweep", self._sweep()), ("phases", self._phases()))]
         self.enter(Phase.STARTING)
         done, _ = await asyncio.wait(parts, return_when=asyncio.FIRST_COMPLETED)
         for part in done:
@@ -87,6 +96,22 @@
         await asyncio.sleep(0.01)  # the connections' tasks end
         return self.code
 
+    async def _reload(self) -> None:
+        """SIGHUP: the file is read again, and the change log followed at the address that it names now."""
+        while True:
+            await self.renewed.wait()
+            self.renewed.clear()
+            try:
+                berth = self.read_again()
+            except BadConfiguration as wrong:
+                # Danger: a file that is half written or wrong would take the running dispatcher with it.
+                log.error("configuration can't be used, the running one stays", wrong=str(wrong))
+                continue
+            for key in fixed(self.berth, berth):
+                log.warning("can't change while running", key=key)
+            log.info("configuration read again", changelog=berth.written.changelog)
+            self.listing.move(berth.changelog)
+
     async def _phases(self) -> None:
         while not self.listing.listed:
             with contextlib.suppress(TimeoutError):
@@ -105,13 +130,13 @@
     async def _drain(self) -> None:
         began = self.loop.time()
         self.enter(Phase.DRAINING)
-        self.owner.tell(Closing(self.owner.clock.now() + int(LAST_ANSWER_S * 1e6)))
-        while self.loop.time() < began + LAST_ANSWER_S:
+        self.owner.tell(Closing(self.owner.clock.now() + int(self.last_answer_s * 1e6)))
+        while self.loop.time() < began + self.last_answer_s:
             await asyncio.sleep(0.02)
             if self.loop.time() > began + WINDOWS_S and self._is_empty():
                 return
         self.owner.tell(Closed())
-        while self.loop.time() < began + LAST_BYTE_S and not self._is_empty():
+        while self.loop.time() < began + self.last_byte_s and not self._is_empty():
             await asyncio.sleep(0.02)
 
     def _is_empty(self) -> bool:
--- a/hoistplank/routing/listing.py
+++ b/hoistplank/routing/listing.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import socket
 from random import Random
 
@@ -25,6 +26,7 @@
     def __init__(self, owner: Owner, address: tuple[str, int], known: Known, chance: Random) -> None:
         self.owner, self.address, self.chance = owner, address, chance.random
         self.last, self.listed, self.fresh = 0, False, False
+        self._moved = asyncio.Event()
         for event in known.results:
             self._apply(event)
         self.last = max(self.last, known.seq)
@@ -49,25 +51,45 @@
         elif told.seq > self.last:
             self._apply(told)
 
+    def move(self, address: tuple[str, int]) -> None:
+        """From now on the change log is followed there, from the last number held."""
+        if address != self.address:
+            self.address = address
+            self._moved.set()
+
     async def run(self) -> None:
         pause = FIRST_PAUSE_S
         while True:
             self.fresh = False
-            wrong = await self._follow()
+            self._moved.clear()
+            following = asyncio.create_task(self._follow(self.address))
+            moving = asyncio.create_task(self._moved.wait())
+            try:
+                await asyncio.wait((following, moving), return_when=asyncio.FIRST_COMPLETED)
+            finally:
+                # Danger: events of the old connection after the move would be told beside those of the new.
+                for task in (following, moving):
+                    task.cancel()
+                await asyncio.gather(following, moving, return_exceptions=True)
+            if self._moved.is_set():
+                pause = FIRST_PAUSE_S
+                continue
+            wrong = following.result()
             if self.fresh:
                 pause = FIRST_PAUSE_S
             log.warning("change log lost", wrong=str(wrong) or type(wrong).__name__, last=self.last)
             self.owner.tell(Listed("failed", []))
-            await asyncio.sleep(pause * (0.5 + self.chance() / 2))
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(self._moved.wait(), pause * (0.5 + self.chance() / 2))
             pause = min(LONGEST_PAUSE_S, pause * 2)
 
-    async def _follow(self) -> BaseException | str:
+    async def _follow(self, address: tuple[str, int]) -> BaseException | str:
         loop = asyncio.get_running_loop()
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         sock.setblocking(False)
         try:
             async with asyncio.timeout(CONNECT_S):
-                await loop.sock_connect(sock, self.address)
+                await loop.sock_connect(sock, address)
         except OSError as wrong:  # a time-out is one
             sock.close()
             return wrong
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -15,7 +15,7 @@
 from hoistplank.choice import Router
 from hoistplank.interface import Decision, HostEntry, HouseRules, Result, Site, Tariff
 from hoistplank.program import service
-from hoistplank.program.berth import Berth, read
+from hoistplank.program.berth import Berth, read, read_again
 from hoistplank.program.service import Service
 from hoistplank.protocol import fastcgi
 
@@ -378,7 +378,10 @@
         ]
         known = {"seq": 1, "results": [listing(1, self.targets, whole=True)]}
         changes = {"changelog": f"127.0.0.1:{await serve(self._tell)}", "known": known} | self.changes
-        self.service = Service(berth(self.folder, **changes))
+        self.service = Service(
+            berth(self.folder, **changes),
+            lambda: read_again({"EDGE_CONFIG": str(self.folder / "config.json")}),
+        )
         self.task = asyncio.create_task(self.service.run())
         self.client = await self.connect()
         return self
