State of hosts, fingerprints and ids that are gone goes too; load is judged by the module

Changed: choice.py gives a gone host's index free once no visit can name it, forgets fingerprints after 10 s (the cooldown lasts 8), takes shots of clients that left back, and decides on load itself, told what waits and how late the loop is: dear visits are turned back last. owner.py only tells it; a visit's id stays taken while one of its shots is out, since the end of the old shot was taken for that of the new one (shot number 0 of either).

--- a/hoistplank/choice.py
+++ b/hoistplank/choice.py
@@ -2,8 +2,7 @@
 
 How to call it: make a Router from a Site and a seed; report what happens through the input methods (from
 hosts_listed to timer_due), which only update what is known; then call next_decision(now) until it answers
-None, and carry out each answer in order. Times are whole microseconds; the module knows no clock, no wire.
-"""
+None, and carry out each answer in order. Times are whole microseconds; the module knows no clock, no wire."""
 
 from __future__ import annotations
 
@@ -66,8 +65,6 @@
 class Herd:
     """What is known of one fingerprint: its bucket, its leader, and where a copy was last seen."""
 
-    __slots__ = ("tokens", "stamp", "leader", "host", "life", "seen", "born", "listing", "orders")
-
     def __init__(self, now: int) -> None:
         self.tokens, self.stamp, self.leader = 1.0, now, None  # type: float, int, Shot | None
         self.host, self.life, self.seen, self.born, self.listing = -1, 0, 0, 0, -1
@@ -83,8 +80,9 @@
         self.site, self.rules = site, site.rules
         self.chance = Random(seed).random
         self.tracks = {tariff.name: Track(tariff) for tariff in site.tariffs}
-        # Cache hosts: parallel arrays under a dense index that a host keeps for good.
-        self.index = dict[str, int]()
+        # Cache hosts: parallel arrays under a dense index that a host keeps until it is gone.
+        self.index, self.spare, self.most_caches = dict[str, int](), deque[tuple[int, int]](), 1
+        self.longest_us = max((tariff.outer_us for tariff in site.tariffs), default=0)
         self.names, self.zones, self.states = list[str](), list[str](), list[str]()
         self.salts, self.cells, self.started, self.life, self.cold_since = (list[int]() for _ in range(5))
         self.heard, self.silent_until, self.silences, self.losses = (list[int]() for _ in range(4))
@@ -93,14 +91,13 @@
         self.trust, self.usual, self.lately = (list[float]() for _ in range(3))
         self.spent, self.out_at = list[deque[tuple[int, float]]](), list[dict[Shot, None]]()
         self.caches, self.parents, self.origin = list[int](), list[int](), -1
-        self.listed_once, self.listing, self.silence_check = False, 0, 0
+        self.listed_once, self.listing, self.silence_check, self.filled_at = False, 0, 0, 0
         self.herds, self.floors = OrderedDict[tuple[str, int, str], Herd](), OrderedDict[str | int, int]()
         self.ledger, self.waiting, self.shots = dict[str, Visit](), dict[str, Visit](), dict[Shot, None]()
         self.outbox, self.stirred, self.asking = deque[Decision](), False, False
-        self.link_full, self.link_at, self.filled_at = 1.5, -1_000_000, 0
-        self.fills_out, self.wake_at, self.token = 0, 0, 0
-        # Fills that fill the location's link at a client's pace, and half as many more to keep it busy: 1.0
-        # loses 0.05 on one deployment, 1.3 to 1.7 are alike. No link told: 16 at first.
+        self.link_full, self.link_at, self.wake_at, self.token, self.fills_out = 1.5, -1_000_000, 0, 0, 0
+        self.waits, self.late_us, self.least_earns = 0, 0, min([row.earnings for row in site.tariffs] or [0])
+        # Half as many fills more than fill the link: 1.0 loses 0.05, 1.3 to 1.7 are alike. No link told: 16.
         self.fill_room, self.full_room, self.least_room = 16.0 / max(1, site.dispatchers_here), inf, 2.0
         if site.link_kb_s > 0 and site.stream_kb_s > 0:
             share = site.link_kb_s / site.stream_kb_s / max(1, site.dispatchers_here)
@@ -117,29 +114,33 @@
         for entry in entries:
             self._list(now, entry)
         named = {entry.host for entry in entries}
-        for host, i in self.index.items():
-            if form != "changes" and host not in named:
-                self.states[i] = "gone"
+        for host, i in list(self.index.items()):
+            if self.states[i] == "gone" or (form != "changes" and host not in named):
+                # Danger: hosts that are replaced all day would fill the arrays and every ranking.
+                self.states[i], self.origin = "gone", -1 if i == self.origin else self.origin
+                self.spare.append((now, self.index.pop(host)))
+        for tier in (self.caches, self.parents):
+            tier[:] = [i for i in tier if self.states[i] != "gone"]
+        self.most_caches = max(self.most_caches, len(self.caches))
         self.listed_once, self.listing = True, self.listing + 1
 
     def _list(self, now: int, entry: HostEntry) -> None:
         i = self.index.get(entry.host, -1)
         if i < 0:
-            i = self.index[entry.host] = len(self.names)
+            # An index is free once no visit can name the host that had it any more.
+            freed = self.spare and self.spare[0][0] < now - self.longest_us
+            i = self.index[entry.host] = self.spare.popleft()[1] if freed else len(self.names)
             # Where no link is told, 8 to begin with, shared: 6 to 8 are alike, 12 loses 0.02.
             room = inf if self.site.links_told else max(2.0, 8.0 / max(1, self.site.dispatchers_here))
-            figures = (self.cells, self.started, self.life, self.silent_until, self.silences, self.losses,
-                       self.felt, self.fills, self.lost_at, self.suspected, self.carry, self.usual,
-                       self.lately)
-            for words, word in ((self.names, entry.host), (self.zones, ""), (self.states, "gone")):
-                words.append(word)
-            self.salts.append(_mix(entry.host))
+            figures = (self.cells, self.started, self.silent_until, self.silences, self.losses, self.felt,
+                       self.fills, self.lost_at, self.suspected, self.carry, self.usual, self.lately)
             for rows, first in ((figures, 0), ((self.cold_since,), -1), ((self.heard, self.carried_at), now),
-                                ((self.units,), 1), ((self.room,), room), ((self.most, self.trust), inf)):
+                                ((self.units,), 1), ((self.room,), room), ((self.most, self.trust), inf),
+                                ((self.names,), entry.host), ((self.zones,), ""), ((self.states,), "gone"),
+                                ((self.life,), [*self.life, 0][i]), ((self.salts,), _mix(entry.host)),
+                                ((self.spent,), deque()), ((self.out_at,), {})):
                 for row in rows:
-                    row.append(first)  # type: ignore[arg-type]
-            self.spent.append(deque())
-            self.out_at.append({})
+                    row[i : i + 1] = [first]  # type: ignore[list-item]
             if entry.kind == self.site.origin_kind:
                 self.origin = i
             elif entry.kind == self.site.parent_kind:
@@ -158,6 +159,10 @@
             self.most[i] = max(2.0, (2.0 + 2.0 * entry.units) / max(1, self.site.dispatchers_here))
         self.room[i] = min(self.room[i], self.most[i])
 
+    def loop_told(self, waits: int, late_us: int) -> None:
+        """How the host program fares: what waits for it, and how late it is; 10 ms are within the slack."""
+        self.waits, self.late_us = waits, min(late_us, 100_000) if late_us > 10_000 else 0  # one standstill
+
     def visit_came(self, now: int, id: str, track: str, thing: str, part: int, group: int, kb: float,
                    until: int, again: bool) -> None:
         row = self.tracks[track]
@@ -165,10 +170,14 @@
         if kb > 0 and self.site.stream_kb_s > 0:
             visit.known_us = kb / self.site.stream_kb_s * 1e6
             row.saw(visit.known_us)
+        until -= self.late_us  # Danger: a loop that lags sees a visit late, and carries out its answer late.
         # The last moment for a shot that can still meet the goal time; an unknown size counts as small.
         send = visit.known_us or (0.0 if row.tariff.goal_stretch >= 1 or row.tariff.uncached else row.send_us)
         goal = now + int(visit.goal_us(send)) - 2 * self.site.tick_us
         visit.latest = min(goal, until - 100_000) - int(send)
+        # Danger: a full core makes all late. 250 are 50 ms of work; dear visits last. Harms lone bursts.
+        if self.waits * self.least_earns > 250 * row.tariff.earnings:
+            visit.latest = now - 1
         self.ledger[id] = self.waiting[id] = visit
         self.stirred = True
 
@@ -185,7 +194,7 @@
             self.fills_out -= 1
             visit.track.fills_out -= 1
             row, succeeded = visit.track, result == Result.SUCCEEDED
-            blamed = result == Result.WITHDRAWN and now < self.silent_until[shot.source]  # on it alone
+            blamed = visit.over or (result == Result.WITHDRAWN and now < self.silent_until[shot.source])
             if note != Note.HIT and not blamed and (succeeded or result in (Result.LATE, Result.WITHDRAWN)):
                 in_time = succeeded and took <= visit.goal_us(visit.send_us())
                 # 1 in 12: about a second's fills of a busy track: a slow origin and its end both show soon.
@@ -250,8 +259,7 @@
             elif took < 1.4 * visit.known_us + 5_000 and len(self.out_at[host]) >= self.room[host] - 2:
                 self.room[host] = min(self.most[host], self.room[host] + 0.3)
         elif note in (Note.FILLED, Note.FROM_ORIGIN) and source in self.parents:
-            # How many times its sending time a fill took, 0.1 s for the way: unlike the first byte it also
-            # shows a parent whose link is slow. The usual settles over 50 fills, the latest over 5.
+            # Fill over sending time, 0.1 s for the way: shows slow links too. Settles over 50, latest over 5.
             slowed = took / (visit.send_us() + 100_000)
             self.fills[source] += 1
             self.usual[source] += (slowed - self.usual[source]) / min(50, self.fills[source])
@@ -269,9 +277,8 @@
     def _lost(self, now: int, host: int, signs: int, sent: int) -> None:
         """Signs of processes that went away, and may be back, cold and empty, before the list says so.
 
-        A few at one host or at several of its cell or zone, unanswered since, make these cold till the list
-        or an older answer tells better. Covers restarts, releases, crashes; harms what hangs, by a cold time.
-        """
+        A few at a host, or over its cell or zone, unanswered since, make these cold till the list or an older
+        answer tells better. Covers restarts, releases, crashes; harms what hangs, by a cold time."""
         tier = self.parents if host in self.parents else self.caches if host in self.caches else []
         self.losses[host], self.lost_at[host] = self.losses[host] + signs, now
         beside = [i for i in tier if self.zones[i] == self.zones[host]]
@@ -314,8 +321,7 @@
         """Whether the location's link has room for one more fill from here."""
         if self.fills_out < self.fill_room:
             return True
-        # Answers that tell of a link below the 1.5 that the room is laid out for open it, but not while
-        # parents or the origin may be short. Harms where reports are long out of date.
+        # A link told below the room's 1.5 opens it, unless parents are short. Harms where reports are old.
         fine = all(row.in_time > 0.85 for row in self.tracks.values()) and all(
             self.cold_since[i] < 0 and self._usable(now, i) for i in self.parents if self.states[i] != "gone")
         return fine and now - self.link_at < 1_000_000 and (
@@ -345,8 +351,7 @@
             self.silence_check = now + 50_000  # a silence shows after 0.7 s, so this is fine enough
             self._find_silent(now)
         if self.waiting:
-            # Most earnings for the time first; a track whose fills miss their goal, or a repeat, yields.
-            # Held visits are looked at the less often the more there are, lest work grow with their square.
+            # Most earnings for the time first; late tracks and repeats yield. Many are looked at less often.
             pause = min(50_000, 10 * len(self.waiting) ** 2)
             due = [visit for visit in self.waiting.values() if visit.due <= now]
             for visit in sorted(due, key=self._weight):
@@ -375,8 +380,7 @@
         tariff = visit.track.tariff
         harmless = tariff.redo == REDOABLE or visit.ran_at < 0
         if harmless or (tariff.redo != IRREVERSIBLE and tariff.redo_group == "all"):
-            longest = self.rules.max_return_us * self.rules.may_name_return
-            wait = int(longest * (0.5 + self.chance() / 2))
+            wait = int(self.rules.max_return_us * self.rules.may_name_return * (0.5 + self.chance() / 2))
             self.outbox.append(Decision("turn_back", visit.id, wait_us=wait))
         else:
             self.outbox.append(Decision("write_off", visit.id))
@@ -397,8 +401,7 @@
     def _place(self, now: int, visit: Visit) -> None:
         """Shoots, holds or gives up on one waiting visit."""
         track, last = visit.track, now > visit.latest
-        # An old copy earns its share at once: taken where fills come in time more seldom than that, and as
-        # the last thing before a visit is turned back. Covers a slow origin, lost sources and crowded links.
+        # An old copy earns its share at once: where fills come in time more seldom, or else at the very last.
         if track.tariff.grace_us and not visit.old and (
                 track.in_time < track.tariff.old_share or (last and visit.missed >= 0)):
             visit.old = True
@@ -434,8 +437,7 @@
 
     def _pass_by(self, now: int, visit: Visit) -> None:
         """Where all caches are gone, silent or out of a cold budget, visits go straight to a parent."""
-        # Not where they are merely full, and within the room for fills. Covers lost locations, releases and
-        # mass restarts; harms by taking from the link what caches would spare it.
+        # Not where they are merely full. Covers lost locations, releases and mass restarts; harms the link.
         if any(self.trust[i] > 8 and self._usable(now, i) and self._budget(now, i, visit.track.send_us)
                for i in self.caches):
             return
@@ -458,13 +460,14 @@
         herd = self.herds.get(visit.print)
         if herd is None:
             herd = self.herds[visit.print] = Herd(now)
-            if len(self.herds) > 20_000:  # some minutes of fingerprints; beyond that the oldest teach nothing
-                self.herds.popitem(last=False)
-        # One visit, refilled at 8 a second as the design starts, but not while a fill is out: a second visit
-        # during a fill of any length finds the bucket empty. Harmless: without a leader nobody waits.
+        # One visit, refilled at 8 a second as the design starts, but not while a fill of any length is out.
         if herd.leader is None:
             herd.tokens = min(1.0, herd.tokens + (now - herd.stamp) * 8e-6)
         herd.stamp = now
+        self.herds.move_to_end(visit.print)
+        # The cooldown is over after 8 s: a fingerprint that was not asked for in 10 s teaches nothing.
+        while next(iter(self.herds.values())).stamp < now - 10_000_000:
+            self.herds.popitem(last=False)
         visit.herd, visit.marked = herd, herd.tokens < 1
         herd.tokens -= not visit.marked
         return herd
@@ -488,13 +491,12 @@
 
     def _rank(self, hosts: list[int], key: int) -> list[int]:
         """Weighted rendezvous: an order that stays put for the rest when a host comes or goes."""
-        scored = []
-        for i in hosts:
+        def score(i: int) -> float:
             x = (key ^ self.salts[i]) * 0x9E3779B97F4A7C15 & 0xFFFFFFFFFFFFFFFF
             x = (x ^ x >> 29) * 0xBF58476D1CE4E5B9 & 0xFFFFFFFFFFFFFFFF
             weight = self.units[i] if self.site.links_told and self.units[i] > 0 else 1.0
-            scored.append((-log(((x ^ x >> 32) + 1) / 2**64) / weight, i))
-        return [i for _, i in sorted(scored)]
+            return -log(((x ^ x >> 32) + 1) / 2**64) / weight
+        return sorted(hosts, key=score)
 
     def _orders(self, visit: Visit) -> tuple[list[int], list[int]]:
         """Caches by object and part, parents by object alone; kept with the herd until the list changes."""
@@ -518,8 +520,7 @@
         good = ([i for i in good if i not in visit.failed_at] or good)[:2]
         if len(good) == 2:
             first, second = good
-            # Well above its usual, and the second well below it: a crowded link or a slow origin slows both.
-            # One fill a second finds out when it has recovered.
+            # Well above its usual and its second: other trouble slows both. One fill a second finds out.
             if (self.lately[first] > 1.5 * self.usual[first] + 0.3 and now - self.felt[first] < 1_000_000
                     and self.lately[second] * 1.5 < self.lately[first]):
                 return second
@@ -546,8 +547,7 @@
             window.popleft()
         can = least + (1 - least) * max(0, now - rules.tip_us - since) / long
         budget = 0.7 * multiple * self._link(host) * can * rules.tip_us
-        # Where a dispatcher's share holds no transfer, as many have one as there are transfers: a lot by
-        # their numbers, spread so evenly that it also holds within a location, however it is numbered.
+        # Where a share holds no transfer, as many have one as there are transfers: an evenly spread lot.
         dearest = max(0.0 if row.tariff.uncached else row.send_us for row in self.tracks.values())
         shares = min(sharers, budget // max(1.0, dearest))
         lot = (self.site.number * 0.6180339887 + self.salts[host] / 2**64) % 1.0
@@ -561,9 +561,9 @@
         if host in self.parents:
             tier, sharers = self.parents, self.site.dispatchers
         else:
-            tier, sharers, part = self.caches, self.site.dispatchers_here, part / len(self.caches)
+            tier, sharers, part = self.caches, self.site.dispatchers_here, part / self.most_caches
         # The mean, not the most: of few visits the most is mostly chance, and a multiple of what is carried.
-        return max(1.0, part, sharers * sum(self.carry[i] for i in tier) / len(tier))
+        return max(1.0, part, sharers * sum(self.carry[i] for i in tier) / max(1, len(tier)))
 
     def _gate(self, now: int, visit: Visit, host: int, source: int) -> bool:
         """What every shot must pass: drains, cold budgets and the limits on shots."""
@@ -601,20 +601,18 @@
         """Takes back shots that hang, and rests the host that they hang at.
 
         One is enough: a dispatcher of many seldom has two at a host. A parent is blamed only where others
-        filled since and most fills are in time: a slow origin delays all. Covers hangs and vanished hosts.
-        """
+        filled since and most fills are in time: a slow origin delays all. Covers hangs and vanished hosts."""
         for shot in [shot for shot in self.shots if not shot.fixed and shot.host != self.origin]:
             visit, out, send = shot.visit, now - shot.sent, shot.visit.send_us()
             host = shot.source if shot.fill and shot.source in self.parents else shot.host
             parent = host in self.parents
             quiet = self.heard[host] < shot.sent and (
                 not parent or (visit.track.in_time > 0.5 and self.filled_at >= shot.sent))
-            # 0.7 s over twice its sending time: pauses are shorter, one large object is no sign. Far past its
-            # goal: lost on its way, or late. Harms huge objects.
+            # 0.7 s over twice its sending time: pauses are shorter. Far past its goal: lost. Harms huge ones.
             overdue = quiet and out > 700_000 + 2 * send
-            if overdue or out > 1.5 * visit.goal_us(send):
+            if visit.over or overdue or out > 1.5 * visit.goal_us(send):  # over: its client has left
                 visit.failed_at.append(host)
-                if quiet:
+                if quiet and not visit.over:
                     if not parent:  # a parent that is gone fails its caches' connections: a clearer sign
                         self._lost(now, host, 2, shot.sent)
                     # Of a parent a dispatcher of many has few fills: 1 s at least, lest each test costs one.
@@ -623,6 +621,6 @@
 
     def _withdraw(self, shot: Shot) -> None:
         redoable = shot.visit.track.tariff.redo == REDOABLE
-        if self.rules.may_withdraw and redoable and not shot.fixed and not shot.visit.over:
+        if self.rules.may_withdraw and redoable and not shot.fixed:
             shot.fixed = True
             self.outbox.append(Decision("withdraw", shot.visit.id, shot=shot.number))
--- a/hoistplank/program/service.py
+++ b/hoistplank/program/service.py
@@ -65,7 +65,7 @@
     def enter(self, phase: Phase) -> None:
         self.phase = phase
         peak_mb = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss // 1024
-        log.info("phase", phase=phase.value, open=len(self.owner.visits), peak_descriptors=self.ledger.peak,
+        log.info("phase", phase=phase.value, open=self.owner.open, peak_descriptors=self.ledger.peak,
                  peak_mb=peak_mb, **self.owner.counts)
 
     async def run(self) -> int:
@@ -143,13 +143,14 @@
             await asyncio.sleep(0.02)
 
     def _is_empty(self) -> bool:
-        return not self.owner.visits and not self.owner.queue and self.front.flushed()
+        return not self.owner.open and not self.owner.queue and self.front.flushed()
 
     async def _abandon(self) -> None:
         """The open visits of a broken program are written off, as far as that still works."""
         for visit in list(self.owner.visits.values()):
-            visit.over = True
-            visit.exchange.write_off()
+            if not visit.over:
+                visit.over = True
+                visit.exchange.write_off()
         self.owner.visits.clear()
         until = self.loop.time() + 0.5
         while not self.front.flushed() and self.loop.time() < until:
--- a/hoistplank/routing/front.py
+++ b/hoistplank/routing/front.py
@@ -23,7 +23,7 @@
 IDLE_S = 8.0  # clients close after half of it
 # A connection is to end within 3 s if no request on it becomes whole: a sweep and the close fit in the rest.
 UNFINISHED_S = 2.0
-LAST_BYTES_S = 0.5  # for the answers on a connection that was given up
+LAST_BYTES_S = 0.3  # for the answers on a connection that was given up
 YOUNG_S = 0.05  # one that has said nothing for less may have its first bytes on the way
 MOST_BAD = 8  # requests that can't be used, on one connection: usual clients send none
 MOST_PART, MOST_GROUP = 65_535, 255
@@ -99,7 +99,7 @@
                 self.front.owner.tell(Left(visit))
             self.open.pop(number, None)
         self.connection.deafen()
-        self.connection.finish()
+        self.connection.finish(lingering=True)
 
     def _whole(self, request: fastcgi.Request) -> None:
         exchange = Exchange(self, request.number, request.keep)
@@ -252,14 +252,17 @@
                 slowest.connection.close()
 
     def reclaim(self) -> None:
-        """Some of those that never spoke go first, else the longest unfinished, else the longest idle."""
+        """Some of those given up or that never spoke go, else the longest unfinished, else the longest idle.
+
+        Danger: while hundreds come that say nothing, usual clients that are idle would go for them.
+        """
         now = asyncio.get_running_loop().time()
         live = [session for session in self.sessions if not session.connection.closing]
-        silent = [session for session in live
-                  if not (session.spoke or session.open) and now - session.born > YOUNG_S]
+        silent = [session for session in live if session.ending or not (session.spoke or session.open)]
         if silent:  # the oldest first: sessions stand in the order of their coming
             for session in silent[: max(1, len(silent) // 4)]:
-                session.connection.close()
+                if session.ending or now - session.born > YOUNG_S:
+                    session.connection.close()
             return
         unfinished = [session for session in live if session.unfinished() and not session.open]
         idle = [session for session in live if session.idle()]
--- a/hoistplank/routing/owner.py
+++ b/hoistplank/routing/owner.py
@@ -20,9 +20,6 @@
 
 log = structlog.get_logger()
 
-# Events that may wait for a turn: some 50 ms of work, many times what the busiest tick of a day brings.
-MOST_WAITING = 250
-
 
 class Came(NamedTuple):
     visit: Visit
@@ -103,13 +100,14 @@
         self.clock, self.open_cap, self.report_names = clock, open_cap or 1 << 30, reported
         self.router = Router(site, seed)
         self.stay_away_us = site.rules.max_return_us // 2 * site.rules.may_name_return
-        self.crowded, self.lag_us = False, 0
+        self.lag_us = 0
         self.tick_s = min(0.002, site.tick_us / 1e6)
         self.reports_in_answers = site.reports_in_answers
         # A shot that has waited longer than a connection may take is decided anew.
         self.stale_us = site.rules.connect_us + 100_000
         self.pool: Pool | None = None
         self.posts: dict[str, Post] = {}
+        self.open = 0  # of the visits, those that are not over; the rest only has shots out
         self.visits: dict[str, Visit] = {}
         self.queue: deque[Event] = deque()
         self.closing_by, self.probes = 0, 0
@@ -148,7 +146,7 @@
 
     def turn(self) -> None:
         now = self.clock.now()
-        self.crowded = len(self.queue) > MOST_WAITING
+        self.router.loop_told(len(self.queue), self.lag_us)
         for _ in range(len(self.queue)):
             event = self.queue.popleft()
             self._tell[type(event)](now, event)
@@ -162,23 +160,19 @@
         if visit.over:
             return
         if visit.id in self.visits:
+            # Danger: an id comes again while its visit is open, or has shots out: their ends would be taken
+            # for those of the new one. The open one is untouched.
             visit.over = True
             visit.exchange.write_off()
             return
-        if len(self.visits) >= self.open_cap or self.crowded:
-            # Danger: more than the core can do comes in, all answers come late, and clients ask again. What
-            # no shot was made for costs little to turn back at once; it harms where one burst comes alone.
+        if self.open >= self.open_cap:
             visit.over = True
             self.counts["turned back"] += 1
             visit.exchange.turn_back(self.stay_away_us)
             return
         self.visits[visit.id] = visit
-        # Danger: a loop that lags sees a visit late and carries out its last answer late. The outer limit
-        # is taken earlier by that; below 10 ms the rules' own slack covers it. At most 0.1 s: a process that
-        # stood still for longer once would else refuse all that has little time.
-        until = visit.until - (min(self.lag_us, 100_000) if self.lag_us > 10_000 else 0)
-        if self.closing_by:
-            until = min(until, self.closing_by)
+        self.open += 1
+        until = min(visit.until, self.closing_by) if self.closing_by else visit.until
         self.router.visit_came(now, visit.id, visit.track, visit.thing, visit.part, visit.group, 0.0, until,
                                visit.again)
 
@@ -192,7 +186,12 @@
     def _over(self, visit: Visit) -> None:
         visit.over = True
         visit.body = b""
-        if self.visits.get(visit.id) is visit:
+        self.open -= 1
+        self._forget(visit)
+
+    def _forget(self, visit: Visit) -> None:
+        """A visit is gone once it is over and none of its shots is out."""
+        if visit.over and not visit.shots and self.visits.get(visit.id) is visit:
             del self.visits[visit.id]
 
     def _late(self, now: int, event: Late) -> None:
@@ -211,6 +210,7 @@
         shot.over, visit = True, shot.visit
         if shot.timer is not None:
             shot.timer.cancel()
+            shot.timer = None  # it refers back to the shot
         visit.shots.pop(shot.number, None)
         result = ENDINGS[how]
         if result == Result.SUCCEEDED and answer is not None and not visit.over:
@@ -221,6 +221,7 @@
         took = (shot.ended_at or now) - shot.begun_at
         self.router.shot_ended(now, visit.id, shot.number, result, visit.over, took, -1,
                                answer.note() if answer else 0, report)
+        self._forget(visit)
 
     def _due(self, now: int, event: Due) -> None:
         self.router.timer_due(now, event.token)
@@ -228,17 +229,20 @@
     def _listed(self, now: int, event: Listed) -> None:
         entries = [target.entry() for target in event.targets]
         named = {entry.host for entry in entries}
-        for host, post in self.posts.items():
-            if event.form == "whole" and host not in named:
-                post.entry = post.entry._replace(state="gone")
+        for host in list(self.posts) if event.form == "whole" else ():
+            if host not in named:
                 self._retire(host)
+                del self.posts[host]
         for target, entry in zip(event.targets, entries, strict=True):
             address, held = target.address(), self.posts.get(entry.host)
             if held is not None and (held.address != address or held.entry.started_us != entry.started_us
                                      or entry.state == "gone"):
                 # Danger: a connection to a process that has gone is used for the one that came after it.
                 self._retire(entry.host)
-            self.posts[entry.host] = Post(entry, address)
+            if entry.state == "gone":
+                self.posts.pop(entry.host, None)  # with all that is kept of it: hosts come and go all day
+            else:
+                self.posts[entry.host] = Post(entry, address)
         self.router.hosts_listed(now, event.form, entries)
 
     def _retire(self, host: str) -> None:
@@ -256,7 +260,7 @@
         self.closing_by = event.by_us
 
     def _closed(self, now: int, event: Closed) -> None:
-        for visit in list(self.visits.values()):
+        for visit in [visit for visit in self.visits.values() if not visit.over]:
             self._over(visit)
             self.counts["written off"] += 1
             visit.exchange.write_off()
@@ -274,8 +278,8 @@
         shot.line = self._send(decision.host, shot, request(visit, decision))
 
     def _send(self, host: str, errand: Shot | Probe, data: bytes) -> Line | None:
-        post = self.posts[host]
-        line = self.pool.send(host, post.address, errand, data) if self.pool is not None else None
+        post = self.posts.get(host)
+        line = self.pool.send(host, post.address, errand, data) if self.pool is not None and post else None
         if line is None:
             errand.failed("withheld")
         return line
--- a/hoistplank/transport/connection.py
+++ b/hoistplank/transport/connection.py
@@ -42,7 +42,7 @@
         self.sock, self.consume, self.most_in, self.most_out = sock, consume, most_in, most_out
         self.buffer, self.start, self.end = bytearray(), 0, 0
         self.out, self.out_bytes = deque[Outgoing](), 0
-        self.closing, self.finishing, self.deaf = False, False, False
+        self.closing, self.finishing, self.lingering, self.deaf = False, False, False, False
         self.heard_at = self.loop.time()
         self.halved = False  # once it has ended: whether that was inside a message of the other side
         self.writing_since = 0.0  # when the write that the system did not take at once began; 0 without one
@@ -73,11 +73,21 @@
     def is_stuck(self) -> bool:
         return self.writing_since > 0 and self.loop.time() - self.writing_since > STUCK_S
 
-    def finish(self) -> None:
-        """Ends the connection once all that waits has been written."""
-        self.finishing = True
+    def finish(self, lingering: bool = False) -> None:
+        """Ends the connection once all that waits has been written.
+
+        Danger: a close with bytes unread resets the connection, and the last answer may be lost with it. A
+        lingering end only tells the other side that no more comes; `close` is left to the caller.
+        """
+        self.finishing, self.lingering = True, lingering
         if not self.out_bytes:
-            self.close()
+            self._finished()
+
+    def _finished(self) -> None:
+        if not self.lingering:
+            return self.close()
+        with contextlib.suppress(OSError):
+            self.sock.shutdown(socket.SHUT_WR)
 
     def close(self) -> None:
         """Ends the connection now."""
@@ -194,4 +204,4 @@
         if not self._reading:
             self._listen()
         if self.finishing and not self.out_bytes:
-            self.close()
+            self._finished()
