Room at the door is made only when someone stands there; idle clients yield to newcomers

Cause (run with logs): 153 of 153 client descriptors held, most by connections that had asked once and stayed; reclaim waited for the one that had said nothing yet (front.py), and the listener took its place in the count before anyone came (listener.py), closing idle clients for nobody. Now the listener accepts first; idle ones yield unless over half of all are silent newcomers. Test: full of idle clients, 30 newcomers between 30 silent ones are answered in 0.8 s (fails before).

--- a/hoistplank/routing/front.py
+++ b/hoistplank/routing/front.py
@@ -254,15 +254,16 @@
     def reclaim(self) -> None:
         """Some of those given up or that never spoke go, else the longest unfinished, else the longest idle.
 
-        Danger: while hundreds come that say nothing, usual clients that are idle would go for them.
+        Danger: while hundreds come that say nothing, usual clients that are idle would go for them; yet where
+        the idle ones hold most of the room, waiting for the few young ones would leave all others outside.
         """
         now = asyncio.get_running_loop().time()
         live = [session for session in self.sessions if not session.connection.closing]
         silent = [session for session in live if session.ending or not (session.spoke or session.open)]
-        if silent:  # the oldest first: sessions stand in the order of their coming
-            for session in silent[: max(1, len(silent) // 4)]:
-                if session.ending or now - session.born > YOUNG_S:
-                    session.connection.close()
+        old = [session for session in silent if session.ending or now - session.born > YOUNG_S]
+        for session in old[: max(1, len(old) // 4)]:  # sessions stand in the order of their coming
+            session.connection.close()
+        if old or len(silent) > len(live) // 2:
             return
         unfinished = [session for session in live if session.unfinished() and not session.open]
         idle = [session for session in live if session.idle()]
--- a/hoistplank/routing/listing.py
+++ b/hoistplank/routing/listing.py
@@ -7,16 +7,13 @@
 import socket
 from random import Random
 
-import structlog
-
 from hoistplank.protocol import changelog
 from hoistplank.protocol.changelog import Event, Known
 from hoistplank.protocol.errors import BadBytes
+from hoistplank.routing.complaints import Complaints
 from hoistplank.routing.owner import Listed, Owner, Purged
 from hoistplank.transport.connection import Connection
 
-log = structlog.get_logger()
-
 SILENT_S = 2.2  # a number comes each second: two missed and some
 CONNECT_S = 1.0
 FIRST_PAUSE_S, LONGEST_PAUSE_S = 0.05, 1.0  # what it tells counts as told 7 s later, so it is tried often
@@ -26,7 +23,7 @@
     def __init__(self, owner: Owner, address: tuple[str, int], known: Known, chance: Random) -> None:
         self.owner, self.address, self.chance = owner, address, chance.random
         self.last, self.listed, self.fresh = 0, False, False
-        self._moved = asyncio.Event()
+        self._moved, self.complaints = asyncio.Event(), Complaints()
         for event in known.results:
             self._apply(event)
         self.last = max(self.last, known.seq)
@@ -77,7 +74,7 @@
             wrong = following.result()
             if self.fresh:
                 pause = FIRST_PAUSE_S
-            log.warning("change log lost", wrong=str(wrong) or type(wrong).__name__, last=self.last)
+            self.complaints.tell("change log lost", wrong=str(wrong) or type(wrong).__name__, last=self.last)
             self.owner.tell(Listed("failed", []))
             with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(self._moved.wait(), pause * (0.5 + self.chance() / 2))
--- a/hoistplank/transport/listener.py
+++ b/hoistplank/transport/listener.py
@@ -32,16 +32,17 @@
         loop = asyncio.get_running_loop()
         try:
             while True:
-                while not self.ledger.take("client"):
-                    await self.ledger.freed()
                 try:
                     sock, _ = await loop.sock_accept(self.sock)
                 except OSError:
-                    self.ledger.give("client")
                     await asyncio.sleep(PAUSE_S)
                     continue
+                # One client at the door is held beyond the count: room is made only when one is there.
+                try:
+                    while not self.ledger.take("client"):
+                        await self.ledger.freed()
                 except BaseException:
-                    self.ledger.give("client")
+                    sock.close()
                     raise
                 self.greet(sock)
         finally:
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -203,6 +203,27 @@
     run(scene())
 
 
+def test_idle_clients_make_room_though_a_few_say_nothing(tmp_path: Path) -> None:
+    async def scene() -> None:
+        hosts = {"a": CacheHost(served), "o": CacheHost(silent)}
+        async with Running(tmp_path, hosts, **{"limits.sockets": 64}) as dispatcher:
+            front, stay = dispatcher.service.front, []
+            while len(front.sessions) < dispatcher.service.ledger.most["client"]:
+                stay.append(await dispatcher.connect())
+                stay[-1].send(1, "", script="/-/healthy")
+                assert (await stay[-1].answer())[1] == 200
+            # Young ones that say nothing come between all others: these are taken in all the same, at once.
+            late = []
+            for number in range(30):
+                stay.append(await dispatcher.connect())
+                late.append(await dispatcher.connect())
+                late[-1].send(number + 1, "", script="/-/healthy")
+            async with asyncio.timeout(0.8):
+                assert [(await client.answer())[1] for client in late] == [200] * 30
+
+    run(scene())
+
+
 def test_id_that_comes_again_is_refused_while_its_visit_or_its_shots_are_out(tmp_path: Path) -> None:
     async def scene() -> None:
         box = CacheHost(lambda id, fields, body: None if fields["blk"] == "1" else served(id, fields, body))
