--- a/hoistplank/transport/pool.py
+++ b/hoistplank/transport/pool.py
@@ -186,7 +186,7 @@
                  complain: Callable[[str, BaseException], None]) -> None:
         self.loop = asyncio.get_running_loop()
         self.ledger, self.streams, self.connect_s = ledger, max(1, streams), connect_s
-        self.remember_s = remember_s
+        self.remember_s, self.swept_at = remember_s, self.loop.time()
         # Closed well before the cache host does it: a request that crosses its close would be lost.
         self.idle_s = idle_s * 0.6
         self.make_reader, self.complain = make_reader, complain
@@ -235,9 +235,12 @@
     def sweep(self) -> None:
         """Closes what is halted or has been idle for as long as the site says; lets go of room and ids."""
         now = self.loop.time()
+        # Danger: after a standstill of this process what came meanwhile is still unread, and looks halted.
+        awake, self.swept_at = now - self.swept_at < HALTED_S, now
         for line in self._all():
             stuck = line.connection is not None and line.connection.is_stuck()
-            if line.is_halted() or stuck or (not line.open and line.idle_since < now - self.idle_s):
+            idle = not line.open and line.idle_since < now - self.idle_s
+            if idle or stuck or (awake and line.is_halted()):
                 line.close()
             else:
                 line.turn_over(now)
