--- a/hoistplank/program/service.py
+++ b/hoistplank/program/service.py
@@ -31,6 +31,8 @@
 # SIGKILL comes no sooner than the longest outer limit, 3 s at most, and 0.7 s more after SIGTERM. What is
 # open is answered in the first part of that 0.7 s, and the bytes are out in the second.
 LONGEST_S, ANSWER_S, BYTE_S = 3.0, 0.25, 0.5
+# The program itself takes some 20 MB, and each connection in use some tens of KB.
+LEAST_MB = 48
 SWEEP_S = 0.1
 
 
@@ -81,6 +83,12 @@
             ("change log", self.listing.run()), ("reload", self._reload()),
             ("sweep", self._sweep()), ("phases", self._phases()))]
         self.enter(Phase.STARTING)
+        # What the limits leave room for, so that nobody has to guess it from what is refused later.
+        log.info("bounds", **{f"{kind} descriptors": most for kind, most in self.ledger.most.items()},
+                 waiting_answers_kb=self.front.most_out >> 10, open_requests_kb=self.front.most_held >> 10)
+        if self.berth.memory_mb < LEAST_MB:
+            log.warning("little memory: few large answers can wait for slow clients at once",
+                        memory_mb=self.berth.memory_mb)
         done, _ = await asyncio.wait(parts, return_when=asyncio.FIRST_COMPLETED)
         for part in done:
             wrong = part.exception()
--- a/hoistplank/transport/pool.py
+++ b/hoistplank/transport/pool.py
@@ -12,7 +12,10 @@
 
 MOST_IN = 524_288  # an answer of 240,000 bytes with its line, and the start of the next
 MOST_OUT = 4_194_304
-MOST_LINES = 32  # connections to one cache host, where descriptors allow
+# Connections to one cache host: few on calm days, since each costs both sides a call for every message; up to
+# many, where descriptors allow, once lines end with shots on them.
+FEW_LINES, MOST_LINES = 2, 32
+CALM_S = 10.0  # without such an end, before half as many are opened again
 # Part of an answer has come and nothing more for so long: pauses of hosts that stand still are shorter.
 HALTED_S = 0.3
 
@@ -146,6 +149,8 @@
         # One connection that ends is one sign, however many shots were on it; one that ends inside an answer,
         # or by bytes that can't be read, says nothing of its host, which was there to send them.
         broken = "spoilt" if self.spoilt else "broken"
+        if self.sent and how == "unwritten":
+            self.pool.spread_out()
         for id in list(self.open):
             sent, errand = id in self.sent, self.end(id)
             if errand is not None:
@@ -187,6 +192,7 @@
         self.loop = asyncio.get_running_loop()
         self.ledger, self.streams, self.connect_s = ledger, max(1, streams), connect_s
         self.remember_s, self.swept_at = remember_s, self.loop.time()
+        self.spread, self.spread_at = FEW_LINES, self.swept_at
         # Closed well before the cache host does it: a request that crosses its close would be lost.
         self.idle_s = idle_s * 0.6
         self.make_reader, self.complain = make_reader, complain
@@ -196,8 +202,8 @@
     def send(self, host: str, address: tuple[str, int], errand: Errand, data: bytes) -> Line | None:
         """Hands an errand to a free line, else to a new one, else to the line with the fewest.
 
-        Danger: a spoilt or halted answer ends all that shares its line. As long as descriptors allow, nothing
-        does; each host may have its even share of them. None where no line can be had.
+        Danger: a spoilt or halted answer ends all that shares its line. Where lines end so, more are opened
+        till none is shared; each host may have its even share of descriptors. None where no line can be had.
         """
         lines = self.lines.setdefault(host, [])
         best: Line | None = None
@@ -207,7 +213,9 @@
                 best = line
         if best is None or best.open:
             share = self.ledger.most["cache host"] // (len(self.lines) + 1)
-            if len(lines) < max(1, min(MOST_LINES, share)) and self.ledger.take("cache host"):
+            most = max(1, min(MOST_LINES, share, self.spread))
+            full = best is not None and len(best.open) >= self.streams
+            if (len(lines) < most or full and len(lines) < share) and self.ledger.take("cache host"):
                 best = Line(self, host, address)
                 lines.append(best)
             elif best is None or len(best.open) >= self.streams:
@@ -215,6 +223,10 @@
         best.send(errand, data)
         return best
 
+    def spread_out(self) -> None:
+        """A line ended with shots on it: from now on fewer share one."""
+        self.spread, self.spread_at = min(MOST_LINES, self.spread * 2), self.loop.time()
+
     def forget(self, line: Line) -> None:
         lines = self.lines.get(line.host, [])
         if line in lines:
@@ -237,6 +249,8 @@
         now = self.loop.time()
         # Danger: after a standstill of this process what came meanwhile is still unread, and looks halted.
         awake, self.swept_at = now - self.swept_at < HALTED_S, now
+        if now - self.spread_at > CALM_S and self.spread > FEW_LINES:
+            self.spread, self.spread_at = self.spread // 2, now
         for line in self._all():
             stuck = line.connection is not None and line.connection.is_stuck()
             idle = not line.open and line.idle_since < now - self.idle_s
