--- a/hoistplank/transport/pool.py
+++ b/hoistplank/transport/pool.py
@@ -214,8 +214,10 @@
         if best is None or best.open:
             share = self.ledger.most["cache host"] // (len(self.lines) + 1)
             most = max(1, min(MOST_LINES, share, self.spread))
-            full = best is not None and len(best.open) >= self.streams
-            if (len(lines) < most or full and len(lines) < share) and self.ledger.take("cache host"):
+            # Danger: a visit that looks, fills and goes again has its id on several lines. Where none is left
+            # for it, another is opened: else it would use up its shots with none sent.
+            must = best is None or len(best.open) >= self.streams
+            if len(lines) < (max(most, share) if must else most) and self.ledger.take("cache host"):
                 best = Line(self, host, address)
                 lines.append(best)
             elif best is None or len(best.open) >= self.streams:
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -496,6 +496,20 @@
     run(scene())
 
 
+def test_id_that_was_on_every_line_gets_a_new_one(tmp_path: Path) -> None:
+    async def scene() -> None:
+        def answer(id: str, fields: dict[str, str], body: bytes) -> bytes:
+            return whole(id) if len(box.seen) > 4 else said("crashed")(id, fields, body)
+
+        box = CacheHost(answer)
+        hosts = {"a": box, "o": CacheHost(silent)}
+        async with Running(tmp_path, hosts, **{"settings.limits.max_attempts": 6}) as dispatcher:
+            assert (await dispatcher.ask(1, "page"))[0] == 200
+            assert dispatcher.service.owner.counts["shots"] == 5 and box.connections == 5
+
+    run(scene())
+
+
 def test_aborted_visit_gets_no_answer_and_frees_its_number(tmp_path: Path) -> None:
     async def scene() -> None:
         box = CacheHost(lambda id, fields, body: None if fields["blk"] == "1" else served(id, fields, body))
