--- a/hoistplank/choice.py
+++ b/hoistplank/choice.py
@@ -42,8 +42,6 @@
 
 
 class Visit:
-    """One line of the visit ledger."""
-
     def __init__(self, id: str, track: Track, thing: str, part: int, group: int, outer: int, again: bool):
         self.id, self.track, self.thing, self.part, self.group = id, track, thing, part, group
         self.print = (thing, part, track.tariff.name)
@@ -610,8 +608,10 @@
                 not parent or (visit.track.in_time > 0.5 and self.filled_at >= shot.sent))
             # 0.7 s over twice its sending time: pauses are shorter. Far past its goal: lost. Harms huge ones.
             overdue = quiet and out > 700_000 + 2 * send
-            if visit.over or overdue or out > 1.5 * visit.goal_us(send):  # over: its client has left
-                visit.failed_at.append(host)
+            # A sure answer takes one sending time; at four, while others come, it is lost. Harms large ones.
+            gone = shot.sure and not quiet and visit.shots < 2 and now < visit.latest and out > 4 * send + 5e4
+            if visit.over or overdue or gone or out > 1.5 * visit.goal_us(send):  # over: client has left
+                visit.failed_at += [host] * (not gone)
                 if quiet and not visit.over:
                     if not parent:  # a parent that is gone fails its caches' connections: a clearer sign
                         self._lost(now, host, 2, shot.sent)
@@ -620,7 +620,6 @@
                 self._withdraw(shot)
 
     def _withdraw(self, shot: Shot) -> None:
-        redoable = shot.visit.track.tariff.redo == REDOABLE
-        if self.rules.may_withdraw and redoable and not shot.fixed:
+        if self.rules.may_withdraw and shot.visit.track.tariff.redo == REDOABLE and not shot.fixed:
             shot.fixed = True
             self.outbox.append(Decision("withdraw", shot.visit.id, shot=shot.number))
