--- a/hoistplank/choice.py
+++ b/hoistplank/choice.py
@@ -159,7 +159,8 @@
 
     def loop_told(self, waits: int, late_us: int) -> None:
         """How the host program fares: what waits for it, and how late it is; 10 ms are within the slack."""
-        self.waits, self.late_us = waits, min(late_us, 100_000) if late_us > 10_000 else 0  # one standstill
+        self.late_us = min(late_us, 100_000) if late_us > 10_000 else 0  # one standstill is no rule
+        self.waits = waits + self.late_us // 200  # 0.2 ms an event: what lies unread is not seen
 
     def visit_came(self, now: int, id: str, track: str, thing: str, part: int, group: int, kb: float,
                    until: int, again: bool) -> None:
@@ -172,10 +173,9 @@
         # The last moment for a shot that can still meet the goal time; an unknown size counts as small.
         send = visit.known_us or (0.0 if row.tariff.goal_stretch >= 1 or row.tariff.uncached else row.send_us)
         goal = now + int(visit.goal_us(send)) - 2 * self.site.tick_us
-        visit.latest = min(goal, until - 100_000) - int(send)
         # Danger: a full core makes all late. 250 are 50 ms of work; dear visits last. Harms lone bursts.
-        if self.waits * self.least_earns > 250 * row.tariff.earnings:
-            visit.latest = now - 1
+        full = self.waits * self.least_earns > 250 * row.tariff.earnings
+        visit.latest = now - 1 if full else min(goal, until - 100_000) - int(send)
         self.ledger[id] = self.waiting[id] = visit
         self.stirred = True
 
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -149,6 +149,8 @@
             r.client_left(now, words[0])
         elif name == "purge":  # purge THING|- GROUP AGE_MS
             r.purged(now, "" if words[0] == "-" else words[0], int(words[1]), int(words[2]) * 1000)
+        elif name == "loop":  # loop WAITS LATE_MS
+            r.loop_told(int(words[0]), int(words[1]) * 1000)
         elif name == "tick":
             r.timer_due(now, r.token)
         else:
