--- a/hoistplank/protocol/changelog.py
+++ b/hoistplank/protocol/changelog.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from hoistplank.interface import HostEntry
+from hoistplank.protocol.cachewire import is_token
 from hoistplank.protocol.errors import BadBytes
 
 MOST_LINE = 1_048_576  # a whole list of some thousand cache hosts
@@ -64,6 +65,9 @@
 
 def check(event: Event) -> Event:
     for target in event.fleet.targets if event.fleet else []:
+        if not is_token(target.uid):
+            # Danger: it goes into the lines to cache hosts as a source's name, and could change their words.
+            raise BadBytes(f"a cache host's uid '{target.uid[:40]}' can't stand in a line")
         address(target.endpoint)
         if target.state not in STATES:
             raise BadBytes(f"cache host {target.uid[:40]} has the unknown state '{target.state[:20]}'")
--- a/hoistplank/routing/listing.py
+++ b/hoistplank/routing/listing.py
@@ -87,7 +87,7 @@
         try:
             async with asyncio.timeout(CONNECT_S):
                 await loop.sock_connect(sock, address)
-        except OSError as wrong:  # a time-out is one
+        except (OSError, ValueError) as wrong:  # a time-out is one; a name that can't be one the other
             sock.close()
             return wrong
         except BaseException:
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -756,6 +756,7 @@
             "known.results: '127.0.0.1:70000'",
         ),
         ("known", {"seq": 1, "results": [{"fleet": {}}]}, "seq"),
+        ("known", {"seq": 1, "results": [listing(1, [target("a,hints=x", "box", 7)])]}, "uid 'a,hints=x'"),
     ],
 )
 def test_bad_configuration_names_its_key(tmp_path: Path, key: str, value: Any, told: str) -> None:
