--- a/benchmarks/lab.py
+++ b/benchmarks/lab.py
@@ -70,6 +70,9 @@
     def step_clock(self, step_us: int) -> None:
         return
 
+    def freeze(self, length_us: int) -> None:
+        return
+
     def take(self, visit: Visit) -> None:
         world, id = self.world, visit.id
 
--- a/hoistplank/lab/drives/sockets.py
+++ b/hoistplank/lab/drives/sockets.py
@@ -22,6 +22,7 @@
 from typing import Any
 
 from hoistplank.interface import HostEntry, Note, Result
+from hoistplank.lab.drives.orphans import with_parent
 from hoistplank.lab.model.clients import BACK, GONE, OFF, SERVED, Visit
 from hoistplank.lab.model.faults import Event, Troubles
 from hoistplank.lab.model.objects import group
@@ -158,7 +159,7 @@
                     world.agenda.now, self.seat.number, id, ask.place[0], ask.group, sent, born
                 )
             self.seat.notes[id] = note
-            dated = self.day.unix_ms(born)
+            dated = self.day.unix_ms(born - self.seat.skew_us)
             head = f"{id} served {detail},digest={ask.place[0][:8]},dated={dated} {len(BODY)}\r\n"
             writer.write(head.encode() + BODY + b"\r\n")
         else:
@@ -173,13 +174,17 @@
         self.alive, self.seq, self.runs = False, 1, 0
         self.log: list[dict[str, Any]] = []
         self.doors: dict[str, Door] = {}
-        self.clients: list[Client] = []
-        self.numbers: list[int] = []
+        self.clients: list[Client | None] = [None] * LINES
+        self.waiting: dict[int, list[tuple[int, str, dict[str, str]]]] = {}  # by line, until it is up
+        self.numbers = [0] * LINES
         self.open: dict[tuple[int, int], Visit] = {}
         self.notes: dict[str, int] = {}
         self.process: asyncio.subprocess.Process | None = None
         self.tasks: set[asyncio.Task[Any]] = set()
         self.port = self.log_port = self.turn = 0
+        self.reach: dict[str, int] = {}  # at which port it finds each server
+        self.entry = 0  # and clients find it
+        self.skew_us = 0  # how far its clock is ahead of all others'
         self.log_writers: dict[asyncio.StreamWriter, None] = {}
 
     # What the world tells.
@@ -194,13 +199,13 @@
     def _target(self, row: HostEntry) -> dict[str, Any]:
         return {
             "uid": row.host,
-            "endpoint": f"127.0.0.1:{self.doors[row.host].port}",
+            "endpoint": f"127.0.0.1:{self.reach[row.host]}",
             "az": row.zone,
             "model": row.kind,
             "pod_group": row.cell,
             "state": STATES[row.state],
             "capacity_hint": row.units,
-            "boot_ms": self.day.unix_ms(row.started_us) if row.started_us else 0,
+            "boot_ms": self._unix_ms(row.started_us) if row.started_us else 0,
         }
 
     def listed(self, form: str, entries: list[HostEntry]) -> None:
@@ -211,14 +216,31 @@
 
     def purge(self, thing: str, group: int, made: int) -> None:
         what: dict[str, Any] = {"object": thing} if thing else {"bucket": group}
-        self._tell({"invalidate": {"time": self.day.unix_ms(made), **what}})
+        self._tell({"invalidate": {"time": self._unix_ms(made), **what}})
+
+    def _unix_ms(self, at: int) -> int:
+        """A moment of the world by the others' clocks, as this dispatcher is told of it."""
+        return self.day.unix_ms(at - self.skew_us)
 
     def step_clock(self, step_us: int) -> None:
-        """A process's own clock can't be set on one machine: this fault is for virtual time alone."""
+        """A process's own clock can't be set on one machine; all that it is told is dated earlier instead."""
+        self.skew_us += step_us
+
+    def freeze(self, length_us: int) -> None:
+        """Stopped by a signal, and continued by its number: no other process is touched."""
+        process = self.process
+        if process is not None and process.returncode is None:
+            process.send_signal(signal.SIGSTOP)
+            asyncio.get_running_loop().call_later(length_us / S, self._thaw, process)
+
+    @staticmethod
+    def _thaw(process: asyncio.subprocess.Process) -> None:
+        if process.returncode is None:
+            process.send_signal(signal.SIGCONT)
 
     def take(self, visit: Visit) -> None:
         self.turn += 1
-        at = self.turn % len(self.clients)
+        at = self.turn % LINES
         self.numbers[at] = self.numbers[at] % 60_000 + 1
         row = self.day.world.shape.tracks[visit.track]
         left_ms = (visit.asked_at + row.outer_us - self.day.world.agenda.now) // 1_000
@@ -234,7 +256,37 @@
         if visit.tries > 1:
             fields["HTTP_X_RESENT"] = "1"
         self.open[at, self.numbers[at]] = visit
-        self.clients[at].send(self.numbers[at], row.name, fields)
+        client = self.clients[at]
+        if client is not None:
+            return client.send(self.numbers[at], row.name, fields)
+        rows = self.waiting.setdefault(at, [])
+        rows.append((self.numbers[at], row.name, fields))
+        if len(rows) == 1:
+            self._spawn(self._line(at, self.runs))
+
+    async def _line(self, at: int, runs: int) -> None:
+        """Opens a line once there is something to send on it.
+
+        Danger: a dispatcher ends a line that has not spoken within its time, and what was sent just then is
+        taken by nobody; a line that speaks at once is never ended so.
+        """
+        client: Client | None = None
+        with contextlib.suppress(OSError):
+            client = await connected(("127.0.0.1", self.entry))
+        rows = self.waiting.pop(at, []) if runs == self.runs else []
+        if client is not None and self.alive and runs == self.runs:
+            self.clients[at] = client
+            for number, track, fields in rows:
+                client.send(number, track, fields)
+            self._spawn(self._read(at, client))
+            return
+        if client is not None:
+            client.writer.close()
+        for number, _, _ in rows:
+            visit = self.open.pop((at, number), None)
+            if visit is not None:
+                self.day.world.truth.answers.refused(visit.id)
+                self.day.world.clients.refused(visit.id)
 
     def leave(self, visit: Visit) -> None:
         """Its answer, if one comes, is read and thrown away, as a web server would."""
@@ -244,6 +296,9 @@
         if self.process is not None and self.process.returncode is None:
             self.process.kill()
         self.open.clear()
+        self.waiting.clear()
+        self.clients = [None] * LINES
+        self.day.entry_shut(self)
 
     def restart(self) -> None:
         self.runs += 1
@@ -261,8 +316,10 @@
         for server in self.day.world.servers.values():
             door = self.doors[server.uid] = Door(self.day, self, server)
             await door.open()
+            self.reach[server.uid] = await self.day.reached(self, server.uid, door.port)
         serving = await asyncio.start_server(self._talk_log, "127.0.0.1", 0)
-        self.log_port = int(serving.sockets[0].getsockname()[1])
+        port = int(serving.sockets[0].getsockname()[1])
+        self.log_port = await self.day.reached(self, "log", port)
 
     async def _talk_log(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         try:
@@ -313,7 +370,7 @@
         log = day.folder / f"dispatcher-{self.number}.log"
         with log.open("ab") as out:
             self.process = await asyncio.create_subprocess_exec(
-                sys.executable, "-m", "hoistplank", env=environment, stdout=out, stderr=out
+                *day.command(self), env=environment, stdout=out, stderr=out, preexec_fn=with_parent()
             )
         until = time.monotonic() + READY_S
         while time.monotonic() < until and self.process.returncode is None:
@@ -323,10 +380,7 @@
                 status = (await client.answer())[1]
                 client.writer.close()
                 if status == 200:
-                    self.clients = [await connected(("127.0.0.1", self.port)) for _ in range(LINES)]
-                    self.numbers = [0] * LINES
-                    for at, one in enumerate(self.clients):
-                        self._spawn(self._read(at, one))
+                    self.entry = await day.entered(self)
                     self.alive = True
                     return
             await asyncio.sleep(0.02)
@@ -343,14 +397,12 @@
                 self._answered(visit, visit.id, status, head)
         except (OSError, asyncio.IncompleteReadError):
             pass
-        if self.clients and self.clients[at] is client and self.alive:
-            # An idle connection that the dispatcher closed: another takes its place, what was open has ended.
+        if self.clients[at] is client and self.alive:
+            # Another takes its place once there is something to send; what was open on it has ended.
+            self.clients[at] = None
             for key in [key for key in self.open if key[0] == at]:
                 visit = self.open.pop(key)
                 self.day.world.clients.answered(visit.id, GONE)
-            with contextlib.suppress(OSError):
-                self.clients[at] = await connected(("127.0.0.1", self.port))
-                self._spawn(self._read(at, self.clients[at]))
 
     def _answered(self, visit: Visit, id: str, status: int, head: bytes) -> None:
         world = self.day.world
@@ -365,6 +417,8 @@
         """Ends the process and all that was opened for it."""
         self.alive = False
         if self.process is not None and self.process.returncode is None:
+            # Danger: a process that a scene has left stopped never sees the end that it is asked for.
+            self.process.send_signal(signal.SIGCONT)
             self.process.send_signal(signal.SIGTERM)
             try:
                 await asyncio.wait_for(self.process.wait(), 8)
@@ -375,7 +429,8 @@
             task.cancel()
         await asyncio.gather(*self.tasks, return_exceptions=True)
         for client in self.clients:
-            client.writer.close()
+            if client is not None:
+                client.writer.close()
         for door in self.doors.values():
             door.close()
 
@@ -387,14 +442,37 @@
         self.world, self.folder = World(shape, seed), folder
         self.tracks = {row.name: n for n, row in enumerate(shape.tracks)}
         Troubles(self.world, rows).begin()
-        self.seats = [SocketSeat(self, n, n % shape.zones) for n in range(shape.zones * shape.dispatchers)]
+        self.seats = [self.seat(n, n % shape.zones) for n in range(shape.zones * shape.dispatchers)]
         self.world.seats.extend(self.seats)
         self.began, self.unix = 0.0, 0.0
         self.lags: list[int] = []
+        self.told: dict[str, Any] = {}  # what the drive has to say of itself at the end
+
+    def seat(self, number: int, zone: int) -> SocketSeat:
+        return SocketSeat(self, number, zone)
 
     def unix_ms(self, at: int) -> int:
         return int(self.unix * 1_000 + at / 1_000)
 
+    # Where a dispatcher and the others find each other: here each at its own port, with nothing between.
+
+    async def reached(self, seat: SocketSeat, party: str, port: int) -> int:
+        """The port at which the dispatcher finds a server, or its change log (`log`)."""
+        return port
+
+    def door_moved(self, seat: SocketSeat, server: Server, opened: bool) -> None:
+        """A server's port for that dispatcher has closed, or is there again."""
+
+    async def entered(self, seat: SocketSeat) -> int:
+        """The port at which clients find a dispatcher that has just come up."""
+        return seat.port
+
+    def entry_shut(self, seat: SocketSeat) -> None:
+        """A dispatcher was killed."""
+
+    def command(self, seat: SocketSeat) -> list[str]:
+        return [sys.executable, "-m", "hoistplank"]
+
     def moved(self) -> None:
         """Brings the world up to now, before what has just come in is told to it."""
         if self.began:
@@ -404,9 +482,7 @@
         """The score; raises TooLate where the machine was too slow, RuntimeError where a dispatcher broke."""
         self.unix = time.time()
         try:
-            for seat in self.seats:
-                await seat.prepare()
-            await asyncio.gather(*(seat.start() for seat in self.seats))
+            await self.begin()
             self.began, self.unix = time.monotonic(), time.time()
             self.world.begin()
             while not self._over():
@@ -414,17 +490,35 @@
             for seat in self.seats:
                 if seat.process is not None and seat.process.returncode is not None and seat.alive:
                     raise RuntimeError(f"dispatcher {seat.number} ended with {seat.process.returncode}")
+            self.told = await self.finish()
         finally:
-            for seat in self.seats:
-                await seat.stop()
-        self.lags.sort()
-        late = self.lags[int(len(self.lags) * 0.99)] if self.lags else 0
+            await self.end()
+        late = self.late_us()
         if late > LATE_US:
             raise TooLate(
                 f"the world ran {late // 1000} ms late (99th percentile), {LATE_US // 1000} are allowed"
             )
         return self.world.clients.earnings.score()
 
+    async def begin(self) -> None:
+        """Ports first, then all processes at once."""
+        for seat in self.seats:
+            await seat.prepare()
+        await asyncio.gather(*(seat.start() for seat in self.seats))
+
+    async def finish(self) -> dict[str, Any]:
+        """What is to be told of the day while all processes are still there."""
+        return {}
+
+    async def end(self) -> None:
+        """All processes end, however the day went."""
+        await asyncio.gather(*(seat.stop() for seat in self.seats))
+
+    def late_us(self) -> int:
+        """The world's own lateness at its 99th percentile."""
+        self.lags.sort()
+        return self.lags[int(len(self.lags) * 0.99)] if self.lags else 0
+
     def _over(self) -> bool:
         """All has been asked for and has ended, with half a second for what comes late."""
         world, shape = self.world, self.world.shape
@@ -443,8 +537,10 @@
             for door in seat.doors.values():
                 if door.server.phase == DOWN and door.listening is not None:
                     door.close()
+                    self.door_moved(seat, door.server, False)
                 elif door.server.phase != DOWN and door.listening is None:
                     await door.open()
+                    self.door_moved(seat, door.server, True)
         due = agenda.next_at() or now
         await asyncio.sleep(min(0.002, max(0.0, (due - now) / S)))
 
--- a/hoistplank/lab/drives/virtual.py
+++ b/hoistplank/lab/drives/virtual.py
@@ -30,6 +30,13 @@
         self.ask: Ask | None = None
         self.server: Server | None = None
 
+    def came(self, result: int, note: int, born: int) -> None:
+        """Its end has left the host; how it comes here is for the path between them."""
+        ways, seat = self.seat.world.ways, self.seat
+        if ways is None:
+            return self.end(result, note, born)
+        ways.send(f"d{seat.number}>{self.decision.host}", True, seat.agenda.now, self.end, result, note, born)
+
     def end(self, result: int, note: int, born: int) -> None:
         if not self.over:
             self.over = True
@@ -57,6 +64,7 @@
         self.over: set[str] = set()
         self.shots: dict[tuple[str, int], Shot] = {}
         self.planned, self.planned_at, self.next_turn = False, 0, 0
+        self.frozen_until = 0
         self.clock = LogClock()
         self.debt_us = 0  # of the core, for visits turned back at the door since the last turn
         self.steward: Steward | None = None
@@ -118,13 +126,21 @@
     def step_clock(self, step_us: int) -> None:
         self.skew_us += step_us
 
+    def freeze(self, length_us: int) -> None:
+        """Lines stay up and take what comes; nothing is decided. A shot that is overdue meanwhile is dropped
+        at its host at once, where a process would do that when it goes on."""
+        self.frozen_until = max(self.frozen_until, self.agenda.now + length_us)
+
     def restart(self) -> None:
+        self.frozen_until, self.planned = 0, False
         self.alive, self.runs, self.clock = True, self.runs + 1, LogClock()
         self.policy = self._made()
 
     # A turn.
 
     def _turn(self) -> None:
+        if self.frozen_until > self.agenda.now and self.alive:
+            return self.agenda.at(self.frozen_until, self._turn)
         self.planned = False
         if not self.alive:
             return
@@ -176,7 +192,11 @@
             self.steward.watch.answered(now, row.name, how == SERVED and now - visit.asked_at <= goal)
         self.over.add(id)
         self.world.truth.answers.answered(now, id)
-        self.world.clients.answered(id, how, wait_us, note)
+        if self.world.ways is None:
+            self.world.clients.answered(id, how, wait_us, note)
+        else:
+            answered = self.world.clients.answered
+            self.world.ways.send(f"clients>d{self.number}", True, now, answered, id, how, wait_us, note)
         self._forget(id)
 
     def _forget(self, id: str) -> None:
@@ -239,13 +259,16 @@
             (visit.thing, visit.part),
             visit.group,
             visit.size_us,
-            shot.end,
+            shot.came,
         )
         ask.source, ask.keep, ask.oldest_us = decision.source, decision.keep, decision.oldest_us
         ask.join, ask.renew, ask.key, ask.back = decision.join, decision.renew, visit.key, way
         if server.zone == HUB:
             ask.ways = [world.zone_links[self.zone]]
-        self.agenda.at(now + way, server.arrive, ask)
+        if world.ways is None:
+            self.agenda.at(now + way, server.arrive, ask)
+        else:
+            world.ways.send(f"d{self.number}>{server.uid}", False, now + way, server.arrive, ask)
 
     def ended(self, now: int, shot: Shot, result: int, note: int, born: int, at: int) -> None:
         id = shot.decision.visit
--- /dev/null
+++ b/hoistplank/lab/fleet/relay.py
@@ -0,0 +1,366 @@
+"""A process of relays: `python -m hoistplank.lab.fleet.relay`, told what to do a JSON line at a time.
+
+Each path between two parties is a way with a name. Of streams, the near party connects to the way's port and
+the relay connects to the far one; of datagrams both parties have a port of the relay for each other. It ends
+with its standard input, so that nothing is left when the rig is gone.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import os
+import socket
+import struct
+import sys
+import time
+from dataclasses import dataclass, field
+from typing import Any, cast
+
+import msgspec
+import uvloop
+from hdrh.histogram import HdrHistogram
+
+from hoistplank.lab.fleet.ways import PLAIN, Course, Datagrams, Terms, chance
+
+MOST_HELD = 512 * 1024  # bytes of one direction that wait; beyond it the sender is read no more, as by TCP
+TICK_S = 0.02
+END, RESET = b"", None  # of a stream: its orderly end, and its breaking off
+Piece = bytes | None
+
+
+def now_us() -> int:
+    return time.monotonic_ns() // 1_000
+
+
+class Side(asyncio.Protocol):
+    """One of the two connections of a joint."""
+
+    def __init__(self, joint: Joint, near: bool) -> None:
+        self.joint, self.near = joint, near
+        self.transport: asyncio.Transport | None = None
+        self.ended = False
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)
+        self.joint.made(self)
+
+    def data_received(self, data: bytes) -> None:
+        self.joint.came(self, data)
+
+    def eof_received(self) -> bool:
+        self.joint.came(self, END)
+        return True  # the other direction may still go on
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.ended = True
+        self.joint.came(self, RESET if exc is not None else END)
+        self.joint.gone()
+
+    def break_off(self) -> None:
+        """A reset, no orderly end."""
+        if self.transport is not None and not self.ended:
+            sock = self.transport.get_extra_info("socket")
+            with contextlib.suppress(OSError, AttributeError):
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            self.transport.abort()
+
+
+class Joint:
+    """A connection through a way. `dead`: it stays up on both sides, and nothing comes through any more."""
+
+    def __init__(self, way: Way) -> None:
+        self.way, self.dead, self.over = way, False, False
+        self.near, self.far = Side(self, True), Side(self, False)
+        self.there = Course[Piece](way.terms[0], way.chances[0])
+        self.back = Course[Piece](way.terms[1], way.chances[1])
+        self.early: list[Piece] = []  # for a far side that is not connected yet
+        self.waits = [0, 0]  # bytes that were taken in and not yet handed on, there and back
+
+    def made(self, side: Side) -> None:
+        if side.near:
+            self.way.joints[self] = None
+            self.way.spawn(self._connect())
+            return
+        early, self.early = self.early, []
+        for piece in early:
+            self._write(self.far, piece)
+
+    async def _connect(self) -> None:
+        loop = asyncio.get_running_loop()
+        try:
+            await loop.create_connection(lambda: self.far, "127.0.0.1", self.way.target)
+        except OSError:
+            # Danger: the near side has written already; to it this is a connection that broke, which proves
+            # nothing of what ran. The rig shuts the way of a party that is gone, so that it is refused.
+            self.over = True
+            self.near.break_off()
+
+    def came(self, side: Side, piece: Piece) -> None:
+        if self.dead or self.over:
+            return
+        course, size = (self.there if side.near else self.back), len(piece or b"")
+        if size:
+            self.way.count(size)
+            which = 0 if side.near else 1
+            self.waits[which] += size
+            if self.waits[which] > MOST_HELD and side.transport is not None and not side.ended:
+                with contextlib.suppress(RuntimeError):
+                    side.transport.pause_reading()
+        self._on(course.push(now_us(), size, piece), side.near)
+
+    def turned(self) -> None:
+        """The terms have changed."""
+        for near, course in ((True, self.there), (False, self.back)):
+            self._on(course.turned(now_us(), self.way.terms[0 if near else 1]), near)
+
+    def _on(self, pieces: list[tuple[int, Piece]], from_near: bool) -> None:
+        now = now_us()
+        for at, piece in pieces:
+            if at <= now:
+                self._hand(piece, from_near, at)
+            else:
+                asyncio.get_running_loop().call_later((at - now) / 1e6, self._hand, piece, from_near, at)
+
+    def _hand(self, piece: Piece, from_near: bool, at: int) -> None:
+        if self.over or self.dead:
+            return
+        which, to = (0, self.far) if from_near else (1, self.near)
+        self.way.late(now_us() - at)
+        if piece:
+            self.waits[which] -= len(piece)
+            source = self.near if from_near else self.far
+            if self.waits[which] <= MOST_HELD // 2 and source.transport is not None and not source.ended:
+                with contextlib.suppress(RuntimeError):
+                    source.transport.resume_reading()
+        self._write(to, piece)
+
+    def _write(self, to: Side, piece: Piece) -> None:
+        if to.transport is None:
+            self.early.append(piece)
+        elif to.ended:
+            # Danger: what it holds for a party that has died can't arrive; the sender learns it as a reset.
+            self.close()
+        elif piece is RESET:
+            self.close()
+        elif piece == END:
+            with contextlib.suppress(OSError, RuntimeError):
+                if to.transport.can_write_eof():
+                    to.transport.write_eof()
+        else:
+            to.transport.write(piece)
+
+    def gone(self) -> None:
+        """One side has ended: with both ended, or one that nothing can be sent to, it is over."""
+        if self.near.ended and (self.far.ended or self.far.transport is None):
+            self.close()
+
+    def close(self) -> None:
+        """Resets what is still up; both ends may close at once, so that this comes twice."""
+        if not self.over:
+            self.over = True
+            self.near.break_off()
+            self.far.break_off()
+        if self.near.ended and (self.far.ended or self.far.transport is None):
+            self.way.joints.pop(self, None)
+
+
+@dataclass(eq=False)
+class Way:
+    """A path of streams between two parties, near and far."""
+
+    name: str
+    target: int
+    seed: int
+    office: Office
+    port: int = 0
+    terms: list[Terms] = field(default_factory=lambda: [PLAIN, PLAIN])  # there, back
+    joints: dict[Joint, None] = field(default_factory=dict)
+    server: asyncio.Server | None = None
+
+    def __post_init__(self) -> None:
+        self.chances = [chance(self.seed, f"{self.name}/there"), chance(self.seed, f"{self.name}/back")]
+
+    def spawn(self, work: Any) -> None:
+        self.office.spawn(work)
+
+    def count(self, size: int) -> None:
+        self.office.chunks += 1
+        self.office.carried += size
+
+    def late(self, lag_us: int) -> None:
+        self.office.lags.record_value(max(1, lag_us))
+
+    async def open(self) -> int:
+        if self.server is None:
+            loop = asyncio.get_running_loop()
+            self.server = await loop.create_server(lambda: Joint(self).near, "127.0.0.1", self.port)
+            self.port = int(self.server.sockets[0].getsockname()[1])
+        return self.port
+
+    def shut(self) -> None:
+        """The far party is gone: refused, and what is open breaks."""
+        if self.server is not None:
+            self.server.close()
+            self.server = None
+        self.reset()
+
+    def reset(self) -> None:
+        for joint in list(self.joints):
+            joint.close()
+
+    def turn(self, back: bool, **values: Any) -> None:
+        self.terms[int(back)] = self.terms[int(back)].changed(**values)
+        for joint in list(self.joints):
+            joint.turned()
+
+    def deaden(self) -> None:
+        for joint in self.joints:
+            joint.dead = True
+
+
+class Mouth(asyncio.DatagramProtocol):
+    """One of the two ports of a datagram way: where the one party finds the other."""
+
+    def __init__(self, way: DatagramWay, back: bool) -> None:
+        self.way, self.back = way, back
+        self.transport: asyncio.DatagramTransport | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.DatagramTransport, transport)
+
+    def datagram_received(self, data: bytes, addr: Any) -> None:
+        self.way.came(data, self.back)
+
+    def error_received(self, exc: Exception) -> None:
+        """A party that does not listen: its datagrams are lost, as on a network."""
+
+
+class DatagramWay:
+    """Datagrams between two parties; each has a port here that stands for the other."""
+
+    def __init__(self, name: str, near: int, far: int, seed: int, office: Office) -> None:
+        self.name, self.near, self.far, self.office = name, near, far, office
+        self.mouths = Mouth(self, False), Mouth(self, True)
+        chances = chance(seed, f"{name}/there"), chance(seed, f"{name}/back")
+        self.courses = Datagrams(PLAIN, chances[0]), Datagrams(PLAIN, chances[1])
+
+    async def open(self) -> tuple[int, int]:
+        """The ports: of the far party as the near one sees it, and the other way round."""
+        loop, ports = asyncio.get_running_loop(), []
+        for mouth in self.mouths:
+            made = await loop.create_datagram_endpoint(lambda it=mouth: it, ("127.0.0.1", 0))  # type: ignore[misc]
+            ports.append(int(made[0].get_extra_info("sockname")[1]))
+        return ports[0], ports[1]
+
+    def came(self, data: bytes, back: bool) -> None:
+        now, loop = now_us(), asyncio.get_running_loop()
+        self.office.chunks += 1
+        for at, copy in self.courses[int(back)].push(now, data):
+            if at <= now:
+                self._send(copy, back)
+            else:
+                loop.call_later((at - now) / 1e6, self._send, copy, back)
+
+    def _send(self, data: bytes, back: bool) -> None:
+        # It comes from the port by which the receiver knows the sender.
+        transport = self.mouths[0 if back else 1].transport
+        if transport is not None and not transport.is_closing():
+            transport.sendto(data, ("127.0.0.1", self.near if back else self.far))
+
+    def turn(self, back: bool, **values: Any) -> None:
+        course = self.courses[int(back)]
+        course.terms = course.terms.changed(**values)
+
+
+class Command(msgspec.Struct, forbid_unknown_fields=True):
+    """One line: what is done to which ways. `terms`: those of `Terms` that change, in one direction."""
+
+    do: str
+    ways: list[str] = []
+    target: int = 0
+    near: int = 0
+    back: bool = False
+    terms: dict[str, Any] = {}
+
+
+class Office:
+    """All ways of this process, and what it is told to do with them."""
+
+    def __init__(self, seed: int) -> None:
+        self.seed, self.chunks, self.carried = seed, 0, 0
+        self.streams: dict[str, Way] = {}
+        self.datagrams: dict[str, DatagramWay] = {}
+        self.lags = HdrHistogram(1, 10_000_000, 2)
+        self.tasks: set[asyncio.Task[Any]] = set()
+
+    def spawn(self, work: Any) -> None:
+        task = asyncio.ensure_future(work)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    async def obey(self, command: Command) -> dict[str, Any] | None:
+        """Carries one command out; an answer where one is due."""
+        do, streams = command.do, [self.streams[name] for name in command.ways if name in self.streams]
+        if do == "stream":
+            way = self.streams[command.ways[0]] = Way(command.ways[0], command.target, self.seed, self)
+            return {"port": await way.open()}
+        if do == "datagrams":
+            made = DatagramWay(command.ways[0], command.near, command.target, self.seed, self)
+            self.datagrams[made.name] = made
+            return {"ports": await made.open()}
+        if do == "stats":
+            return {
+                "chunks": self.chunks,
+                "bytes": self.carried,
+                "cpu_s": time.process_time(),
+                "late_us": {str(p): self.lags.get_value_at_percentile(p) for p in (50, 99, 100)},
+                "joints": sum(len(way.joints) for way in self.streams.values()),
+            }
+        for way in streams:
+            if do == "target":
+                way.target = command.target
+            elif do == "open":
+                await way.open()
+            elif do == "shut":
+                way.shut()
+            elif do == "reset":
+                way.reset()
+            elif do == "deaden":
+                way.deaden()
+            elif do == "turn":
+                way.turn(command.back, **command.terms)
+        for name in command.ways:
+            if do == "turn" and name in self.datagrams:
+                self.datagrams[name].turn(command.back, **command.terms)
+        return None
+
+    async def tick(self) -> None:
+        """The loop's own lateness counts as the relays': what comes in waits as long as this timer does."""
+        while True:
+            began = time.monotonic()
+            await asyncio.sleep(TICK_S)
+            self.lags.record_value(max(1, int((time.monotonic() - began - TICK_S) * 1e6)))
+
+
+async def serve(seed: int) -> None:
+    office, loop = Office(seed), asyncio.get_running_loop()
+    reader = asyncio.StreamReader(limit=1 << 22)
+    await loop.connect_read_pipe(lambda: asyncio.StreamReaderProtocol(reader), sys.stdin)
+    office.spawn(office.tick())
+    while line := await reader.readline():
+        told = await office.obey(msgspec.json.decode(line, type=Command))
+        if told is not None:
+            os.write(1, msgspec.json.encode(told) + b"\n")
+    for task in office.tasks:
+        task.cancel()
+
+
+def main() -> int:
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        runner.run(serve(int(sys.argv[1])))
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/hoistplank/lab/fleet/runner.py
@@ -0,0 +1,169 @@
+"""Plays scenes, each in a worker process: what held, what did not, what was void as the machine was slow."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import os
+import shutil
+import sys
+import tempfile
+from collections.abc import Callable, Iterable
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from hoistplank.lab.fleet.scene import Scene, read
+from hoistplank.lab.fleet.work import BROKE, DONE, VOID, Job
+from hoistplank.operator.faults import Fault, Faults, Place
+
+TRIES = 3  # of a run that was void
+PREFIX = "hoistplank-fleet-"
+HELD, FAILED = "held", "failed"
+Told = Callable[[int, int, dict[str, Any]], None]  # how many are done, of how many, and the last one
+
+
+def scenes(paths: Iterable[str], only: str = "") -> list[tuple[Scene, Path]]:
+    """The scenes of files and folders, with the folder each lies in. Raises Faults, for all that is wrong."""
+    found: list[tuple[Scene, Path]] = []
+    faults: list[Fault] = []
+    for path in map(Path, paths):
+        files = sorted(path.glob("*.sexp")) if path.is_dir() else [path]
+        if not files:
+            faults.append(Fault(Place(str(path), 1, 1), "a folder without scenes", "files '*.sexp'"))
+        for file in files:
+            try:
+                scene = read(file.read_bytes(), str(file))
+            except OSError as wrong:
+                faults.append(Fault(Place(str(file), 1, 1), f"a file that can't be read ({wrong.strerror})",
+                                    "a scene"))
+            except Faults as wrong:
+                # A file of another kind that lies beside is no scene: an operator's file that a scene names.
+                faults += wrong.faults
+            else:
+                found.append((scene, file.parent))
+    names = [scene.name for scene, _ in found]
+    if only and only not in names and not faults:
+        wants = "one of " + ", ".join(names)
+        faults.append(Fault(Place(str(next(iter(paths), "")), 1, 1), f"no scene '{only}'", wants))
+    if faults:
+        raise Faults(faults)
+    return [pair for pair in found if not only or pair[0].name == only]
+
+
+def swept() -> list[Path]:
+    """Takes away what runs left behind that were killed together with their workers; what it took."""
+    gone = []
+    for place in Path(tempfile.gettempdir()).glob(f"{PREFIX}*"):
+        number = place.name.removeprefix(PREFIX).partition("-")[0]
+        if number.isdecimal() and not Path("/proc", number).exists():
+            shutil.rmtree(place, ignore_errors=True)
+            gone.append(place)
+    return gone
+
+
+def verdict(found: dict[str, Any]) -> str:
+    """Of one run: `held`, `failed`, `void` or `broke`."""
+    if found["how"] != DONE:
+        return str(found["how"])
+    return FAILED if found["failures"] else HELD
+
+
+class Run:
+    """Several scenes, on some drives and seeds, so many at a time. Nothing of it outlives it."""
+
+    def __init__(self, jobs: list[Job], at_once: int, told: Told | None = None) -> None:
+        self.jobs, self.at_once, self.told = jobs, at_once, told
+        self.done: list[dict[str, Any]] = []
+        self.workers: set[asyncio.subprocess.Process] = set()
+
+    async def go(self) -> list[dict[str, Any]]:
+        """A result for each job, in their order."""
+        gate = asyncio.Semaphore(self.at_once)
+        tasks = [asyncio.ensure_future(self._one(job, gate)) for job in self.jobs]
+        try:
+            return await asyncio.gather(*tasks)
+        finally:
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+
+    async def _one(self, job: Job, gate: asyncio.Semaphore) -> dict[str, Any]:
+        async with gate:
+            for left in range(TRIES - 1, -1, -1):
+                found = await self._played(job)
+                if found["how"] != VOID or left == 0:
+                    break
+        found["verdict"] = verdict(found)
+        self.done.append(found)
+        if self.told is not None:
+            self.told(len(self.done), len(self.jobs), found)
+        return found
+
+    async def _played(self, job: Job) -> dict[str, Any]:
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "hoistplank.lab.fleet.work",
+            stdin=asyncio.subprocess.PIPE,
+            stdout=asyncio.subprocess.PIPE,
+            stderr=asyncio.subprocess.PIPE,
+            limit=1 << 24,
+            start_new_session=True,  # it ends by its standard input, in order, and not by the terminal
+        )
+        assert process.stdin is not None and process.stdout is not None and process.stderr is not None
+        complaints = asyncio.ensure_future(process.stderr.read())
+        try:
+            process.stdin.write(msgspec.json.encode(job) + b"\n")
+            line = await process.stdout.readline()
+            process.stdin.close()
+            await process.wait()
+        finally:
+            if process.returncode is None:
+                # Its input ends: it stops its own processes and takes its folder away, which takes a moment.
+                process.stdin.close()
+                with contextlib.suppress(TimeoutError):
+                    await asyncio.wait_for(process.wait(), 15)
+            if process.returncode is None:
+                process.kill()
+                await process.wait()
+            wrong = await complaints
+        if not line:
+            last = wrong.decode(errors="replace").strip().splitlines()[-1:]
+            return {"scene": job.scene.name, "drive": job.drive, "seed": job.seed, "policy": job.policy,
+                    "how": BROKE, "why": f"the worker ended with {process.returncode}: {' '.join(last)}"}
+        found: dict[str, Any] = msgspec.json.decode(line)
+        return found
+
+
+async def played(
+    chosen: list[tuple[Scene, Path]],
+    drives: Iterable[str],
+    seeds: Iterable[int],
+    at_once: int,
+    keep: Path | None = None,
+    told: Told | None = None,
+    policies: Iterable[str] = ("module",),
+) -> list[dict[str, Any]]:
+    """Every scene on those of the drives that it can play on; `policies` others than the module in virtual
+    time alone."""
+    swept()
+    folder = keep or Path(tempfile.mkdtemp(prefix=f"{PREFIX}{os.getpid()}-"))
+    jobs = [
+        Job(
+            scene=scene, drive=drive, seed=seed, policy=policy, folder=str(folder), beside=str(beside),
+            keep=keep is not None,
+        )
+        for scene, beside in chosen
+        for drive in drives
+        if drive in scene.drives
+        for seed in seeds
+        for policy in policies
+        if policy == "module" or drive == "virtual"
+    ]
+    try:
+        return await Run(jobs, at_once, told).go()
+    finally:
+        if keep is None:
+            shutil.rmtree(folder, ignore_errors=True)
--- /dev/null
+++ b/hoistplank/lab/fleet/tally.py
@@ -0,0 +1,245 @@
+"""What all dispatchers did together, by the world's truth: earnings by location, what became of displaced
+visits, what is shared against its whole, fairness, shots for each first try, how long wrong choices lasted.
+
+It hears the world's events and samples; nothing here is a dispatcher's own word. No I/O, no clock; times
+are whole microseconds of the world.
+"""
+
+from __future__ import annotations
+
+from collections import Counter, defaultdict
+from dataclasses import dataclass, field
+from typing import Any
+
+from hoistplank.lab.model.clients import BACK, GONE, LEFT, OFF, SERVED, Visit
+from hoistplank.lab.model.shape import S, Shape
+
+BIN = 100_000  # of earnings and refusals over time
+OUTCOMES = (SERVED, BACK, OFF, GONE, LEFT)
+SENT_BEFORE_US = 2_000  # what was on its way when a fault began is no choice of after it
+
+
+def jain(values: list[float]) -> float:
+    """Jain's index of fairness: 1 where all are alike, 1 / n where one has all; 1 of nothing."""
+    squares = sum(value * value for value in values)
+    return sum(values) ** 2 / (len(values) * squares) if squares else 1.0
+
+
+@dataclass(slots=True)
+class Mark:
+    """A fault that makes hosts a wrong choice, from when to when, and for which dispatchers (None: all)."""
+
+    begin: int
+    end: int
+    hosts: frozenset[str]
+    seats: frozenset[int] | None
+    text: str
+    last: dict[int, int] = field(default_factory=dict)  # by dispatcher: its last shot at one of them
+    shots: int = 0
+
+    def slowest_us(self) -> int:
+        """From its beginning to the last shot at what it struck, of the slowest dispatcher."""
+        return max((at - self.begin for at in self.last.values()), default=0)
+
+
+@dataclass(slots=True)
+class Shared:
+    """A thing that all hold parts of: the most they held together, how many samples were over the whole."""
+
+    whole: float
+    most: float = 0.0
+    samples: int = 0
+    over: int = 0
+    by_time: list[float] = field(default_factory=list)
+
+    def sample(self, parts: list[float]) -> None:
+        held = sum(parts)
+        self.samples += 1
+        self.over += held > self.whole
+        self.most = max(self.most, held / self.whole if self.whole else 0.0)
+        self.by_time.append(round(held / self.whole, 3) if self.whole else 0.0)
+
+
+class Tally:
+    """An ear of the world; `zones` are those of the dispatchers by their numbers."""
+
+    def __init__(self, shape: Shape, zones: list[int]) -> None:
+        bins = int(shape.seconds * S / BIN) + 1
+        self.shape, self.zones, self.start = shape, zones, shape.start_us()
+        self.asked_in = [[0.0] * bins for _ in range(shape.zones)]
+        self.earned_in = [[0.0] * bins for _ in range(shape.zones)]
+        self.refused_in = [[0] * bins for _ in shape.tracks]
+        self.lost = {zone: defaultdict[str, float](float) for zone in range(shape.zones)}
+        self.given_up = defaultdict[str, float](float)  # earnings turned back in the end, by track
+        self.firsts = self.tries = self.shots = 0
+        self.seen: set[int] = set()  # visits, by their numbers
+        self.by_seat = [[0, 0] for _ in zones]  # tries, of these served
+        self.answers: Counter[str] = Counter()
+        self.out: dict[str, tuple[int, int]] = {}  # by try: home, where it went
+        self.displaced: Counter[tuple[int, int]] = Counter()
+        self.became: Counter[tuple[int, int, str]] = Counter()
+        self.stray: list[str] = []
+        self.marks: list[Mark] = []
+        self.shared: defaultdict[str, Shared] = defaultdict(lambda: Shared(0.0))
+
+    def _bin(self, at: int) -> int | None:
+        return min((at - self.start) // BIN, len(self.asked_in[0]) - 1) if at >= self.start else None
+
+    # What the clients tell.
+
+    def asked(self, now: int, zone: int, track: int) -> None:
+        spot = self._bin(now)
+        if spot is not None:
+            self.asked_in[zone][spot] += self.shape.tracks[track].earnings
+
+    def tried(self, now: int, visit: Visit) -> None:
+        zone = self.zones[visit.seat]
+        self.out[visit.id] = visit.zone, zone
+        if visit.zone != zone:
+            self.displaced[visit.zone, zone] += 1
+        if now >= self.start:
+            self.tries += 1
+            self.firsts += visit.number not in self.seen
+            self.seen.add(visit.number)
+            self.by_seat[visit.seat][0] += 1
+
+    def answered(self, now: int, visit: Visit, how: str) -> None:
+        way = self.out.pop(visit.id, None)
+        if way is None:
+            self.stray.append(f"{visit.id}: {how}, though nobody has it")
+            return
+        home, zone = way
+        if home != zone:
+            self.became[home, zone, how] += 1
+        spot = self._bin(now)
+        if spot is not None:
+            self.answers[how] += 1
+            self.by_seat[visit.seat][1] += how == SERVED
+            if how == BACK:
+                self.refused_in[visit.track][spot] += 1
+
+    def ended(self, due_at: int, zone: int, track: int, share: float, cause: str) -> None:
+        spot = self._bin(due_at)
+        if spot is None:
+            return
+        worth = self.shape.tracks[track].earnings
+        self.earned_in[zone][spot] += worth * share
+        if share < 1:
+            self.lost[zone][cause] += worth * (1 - share)
+        if cause == BACK:
+            self.given_up[self.shape.tracks[track].name] += worth
+
+    # What the hosts tell.
+
+    def shot(self, now: int, seat: int, host: str, role: str) -> None:
+        if role == "host" and now >= self.start:
+            self.shots += 1
+        for mark in self.marks:
+            ours = mark.seats is None or seat in mark.seats
+            if ours and mark.begin + SENT_BEFORE_US < now < mark.end and host in mark.hosts:
+                mark.shots += 1
+                mark.last[seat] = now
+
+    def struck(
+        self, now: int, length: int, hosts: list[str], text: str, seats: list[int] | None = None
+    ) -> None:
+        """From now on these hosts are a wrong choice for these dispatchers."""
+        whose = frozenset(seats) if seats is not None else None
+        self.marks.append(Mark(now, now + length, frozenset(hosts), whose, text))
+
+    def sample(self, name: str, whole: float, parts: list[float]) -> None:
+        """What all together hold now of a thing that is shared."""
+        row = self.shared[name]
+        row.whole = whole
+        row.sample(parts)
+
+    # Figures.
+
+    def earned(self, zones: list[int], low: int = 0, high: int = 0) -> float:
+        """Share of what clients of these locations asked for in a window (us from the first second)."""
+        first, last = low // BIN, (high // BIN if high else len(self.asked_in[0]))
+        asked = sum(sum(self.asked_in[zone][first:last]) for zone in zones)
+        earned = sum(sum(self.earned_in[zone][first:last]) for zone in zones)
+        return earned / asked if asked else 1.0
+
+    def fair(self) -> float:
+        """The worst location's index of the shares that its dispatchers served of what came to them."""
+        worst = 1.0
+        for zone in set(self.zones):
+            rows = [row for row, where in zip(self.by_seat, self.zones, strict=True) if where == zone]
+            worst = min(worst, jain([served / tries for tries, served in rows if tries]))
+        return worst
+
+    def unaccounted(self) -> list[str]:
+        """Displaced tries whose end nobody knows, and ends of tries that nobody made; a sentence each."""
+        found = list(self.stray)
+        for (home, zone), many in sorted(self.displaced.items()):
+            known = sum(self.became[home, zone, how] for how in OUTCOMES)
+            if known != many:
+                found.append(f"{many - known} of {many} tries of z{home} at z{zone} have no end")
+        return found
+
+    def measure(self, name: str, place: str, low: int, high: int) -> float:
+        """A scene's figure. Raises KeyError for what it does not know."""
+        zones = [int(place[1:])] if place.startswith("z") else list(range(self.shape.zones))
+        if name == "earned":
+            return self.earned(zones, low, high)
+        if name == "lost":
+            asked = sum(map(sum, self.asked_in))
+            lost = sum(self.lost[zone][place.replace("-", " ")] for zone in self.lost)
+            return lost / asked if asked else 0.0
+        if name == "displaced":
+            served = sum(many for (_, _, how), many in self.became.items() if how == SERVED)
+            return served / max(1, sum(self.displaced.values()))
+        if name == "amplified":
+            return self.shots / max(1, self.firsts)
+        if name == "asked-again":
+            return self.tries / max(1, self.firsts)
+        if name == "link":
+            return max(row.most for key, row in self.shared.items() if key in [f"link z{z}" for z in zones])
+        if name == "fair":
+            return self.fair()
+        if name == "fair-places":
+            return jain([self.earned([zone], low, high) for zone in zones])
+        if name == "wrong":
+            return max((mark.slowest_us() for mark in self.marks), default=0) / S
+        if name == "refused":
+            return self.answers[BACK] / max(1, self.tries)
+        raise KeyError(name)
+
+    def figures(self) -> dict[str, Any]:
+        """All that a report needs; plain values."""
+        return {
+            "asked_in": [[round(value, 3) for value in row] for row in self.asked_in],
+            "earned_in": [[round(value, 3) for value in row] for row in self.earned_in],
+            "refused_in": {
+                row.name: many for row, many in zip(self.shape.tracks, self.refused_in, strict=True)
+            },
+            "lost_by_place": {
+                f"z{zone}": {cause: round(value, 3) for cause, value in rows.items()}
+                for zone, rows in self.lost.items()
+            },
+            "given_up": {name: round(value, 3) for name, value in self.given_up.items()},
+            "answers": dict(self.answers),
+            "displaced": {
+                f"z{home} at z{zone}": {
+                    "tries": many, **{how: self.became[home, zone, how] for how in OUTCOMES}
+                }
+                for (home, zone), many in sorted(self.displaced.items())
+            },
+            "amplified": round(self.measure("amplified", "", 0, 0), 4),
+            "asked_again": round(self.measure("asked-again", "", 0, 0), 4),
+            "fair": round(self.fair(), 4),
+            "fair_places": round(self.measure("fair-places", "", 0, 0), 4),
+            "shared": {
+                name: {"most": round(row.most, 3), "over": row.over, "samples": row.samples,
+                       "by_time": row.by_time}
+                for name, row in self.shared.items()
+            },
+            "wrong": [
+                {"what": mark.text, "shots": mark.shots, "slowest_s": round(mark.slowest_us() / S, 3),
+                 "by_dispatcher": {str(n): round((at - mark.begin) / S, 3)
+                                   for n, at in sorted(mark.last.items())}}
+                for mark in self.marks
+            ],
+        }
--- /dev/null
+++ b/hoistplank/lab/fleet/troubles.py
@@ -0,0 +1,248 @@
+"""Carries a scene's faults out on a world and on what drives it: processes and relays, or virtual time."""
+
+from __future__ import annotations
+
+from typing import Any, Protocol
+
+from hoistplank.lab.fleet.scene import DATAGRAMS, KINDS, PARTY, WHO
+from hoistplank.lab.fleet.tally import Tally
+from hoistplank.lab.model.faults import Event, Troubles
+from hoistplank.lab.model.shape import HUB
+from hoistplank.lab.model.world import Move, Seat, World
+from hoistplank.operator.schema import Kind
+
+Path = tuple[str, bool]  # a way's name, and whether it is the direction back to the near party
+
+
+class Hands(Protocol):
+    """What a drive does to paths and processes."""
+
+    def turn(self, paths: list[Path], **terms: Any) -> None:
+        """Other terms (see `ways.Terms`) for these directions."""
+
+    def tell(self, ways: list[str], do: str) -> None:
+        """`reset`, `shut`, `open` or `deaden`, both directions. Processes only."""
+
+    def older(self, seat: Seat, file: str, down_us: int) -> None:
+        """Restarts a dispatcher with another operator's file. Processes only."""
+
+    def starve(self, seat: Seat, share: float, length_us: int) -> None:
+        """Takes a share of its core away. Processes only."""
+
+
+class FleetTroubles(Troubles):
+    """`hands` carry out what the world's model has not."""
+
+    kinds = KINDS
+
+    def __init__(self, world: World, rows: list[Event], hands: Hands, tally: Tally) -> None:
+        super().__init__(world, rows)
+        self.hands, self.tally = hands, tally
+
+    def _struck(self, kind: Kind, value: Any) -> Any:
+        return self._who(value) if kind is WHO else super()._struck(kind, value)
+
+    def _who(self, text: str) -> list[Seat]:
+        name, _, share = text.partition(":")
+        seats = self.world.seats
+        if name.startswith("z"):
+            return [seat for seat in seats if seat.zone == int(name[1:])]
+        if name == "dispatchers":
+            return self._seats(float(share)) if share else list(seats)
+        return [seats[int(name[1:])]]
+
+    # Paths.
+
+    def _dispatchers(self, party: str) -> list[int] | None:
+        """The numbers of the dispatchers that a party stands for; None where it is something else."""
+        seats = self.world.seats
+        if party == "dispatchers":
+            return [seat.number for seat in seats]
+        if party.startswith("dz"):
+            return [seat.number for seat in seats if seat.zone == int(party[2:])]
+        return [int(party[1:])] if party.startswith("d") else None
+
+    def _servers(self, party: str) -> list[str]:
+        world = self.world
+        if party == HUB:
+            return [one.uid for one in world.servers.values() if one.zone == HUB]
+        if party == "caches":
+            return [one.uid for one in world.caches]
+        if party.startswith("z"):
+            return [one.uid for one in world.caches if one.zone == party]
+        return [party]  # a host, the origin or the log
+
+    def paths(self, one: str, other: str) -> list[Path]:
+        """The directions that lead from one party to another."""
+        ours, theirs = self._dispatchers(one), self._dispatchers(other)
+        if ours is not None and theirs is not None:
+            return [(f"d{min(a, b)}~d{max(a, b)}", a > b) for a in ours for b in theirs if a != b]
+        back = theirs is not None
+        many, party = (theirs, one) if back else (ours, other)
+        assert many is not None  # the scene was checked
+        if party == "clients":
+            return [(f"clients>d{n}", not back) for n in many]
+        return [(f"d{n}>{uid}", back) for n in many for uid in self._servers(party)]
+
+    def _set(self, one: str, other: str, length: int, **terms: Any) -> None:
+        paths = self.paths(one, other)
+        self._blind([name for name, _ in paths], length)
+        self.hands.turn(paths, **terms)
+        plain = {name: False if value is True else type(value)() for name, value in terms.items()}
+
+        def over() -> None:
+            self.hands.turn(paths, **plain)
+
+        self._later(length, over)
+
+    def _hush(self, one: str, other: str, length: int) -> None:
+        self._wrong(one, other, length, f"hush {one} {other}")
+        self._set(one, other, length, silent=True)
+
+    def _delay(self, one: str, other: str, delay: int, spread: int, length: int) -> None:
+        self._set(one, other, length, delay_us=delay, spread_us=spread)
+
+    def _pace(self, one: str, other: str, rate: float, length: int) -> None:
+        self._set(one, other, length, rate=rate * 1_000.0)
+
+    def _break(self, one: str, other: str, length: int) -> None:
+        self._wrong(one, other, length, f"break {one} {other}")
+        names = [name for name, _ in self.paths(one, other)]
+        self._blind(names, length)
+        self.hands.tell(names, "shut")
+        self._later(length, self.hands.tell, names, "open")
+
+    def _halfway(self, one: str, other: str) -> None:
+        names = [name for name, _ in self.paths(one, other)]
+        self._blind(names, 1)
+        self.hands.tell(names, "deaden")
+
+    def _blind(self, names: list[str], length: int) -> None:
+        """Danger: an answer that the rig itself holds back would count as a rule that a dispatcher broke."""
+        for name in names:
+            if name.startswith("clients>d"):
+                self._excuse(int(name.removeprefix("clients>d")), length)
+
+    def _excuse(self, seat: int, length: int) -> None:
+        answers = self.world.truth.answers
+        answers.blinded(seat)
+        self._later(length, answers.seeing, seat)
+
+    def _loss(self, one: str, other: str, share: float, length: int) -> None:
+        self._set(one, other, length, loss=share)
+
+    def _double(self, one: str, other: str, share: float, length: int) -> None:
+        self._set(one, other, length, double=share)
+
+    def _jumble(self, one: str, other: str, share: float, late: int, length: int) -> None:
+        self._set(one, other, length, jumble=share, jumble_us=late)
+
+    def _tardy(self, one: str, other: str, share: float, late: int, length: int) -> None:
+        self._set(one, other, length, tardy=share, tardy_us=late)
+
+    def _flip(self, one: str, other: str, share: float, length: int) -> None:
+        self._set(one, other, length, flip=share)
+
+    def _wrong(self, one: str, other: str, length: int, text: str) -> None:
+        """Hosts that a dispatcher can't reach, or not hear, are a wrong choice for it."""
+        for party, rest in ((one, other), (other, one)):
+            seats = self._dispatchers(party)
+            if seats is not None and rest not in ("clients", "log") and self._dispatchers(rest) is None:
+                self.tally.struck(self.agenda.now, length, self._servers(rest), text, seats)
+
+    def _cut(self, one: str, other: str, length: int) -> None:
+        super()._cut(one, other, length)
+        # The model cuts what flows between hosts; what dispatchers of the one zone send to the other is here.
+        for zone, far in ((one, other), (other, one)):
+            if zone.startswith("z"):
+                party = f"d{zone}"
+                for pair in ((party, far), (far, party)):
+                    self._set(*pair, length, silent=True)
+                seats = self._dispatchers(party)
+                self.tally.struck(self.agenda.now, length, self._servers(far), f"cut {one} {other}", seats)
+
+    # Dispatcher processes.
+
+    def _down(self, seats: list[Seat], length: int) -> None:
+        for seat in seats:
+            self.world.crash_seat(seat, length)
+
+    def _freeze(self, seats: list[Seat], length: int) -> None:
+        for seat in seats:
+            self._excuse(seat.number, length)
+            seat.freeze(length)
+
+    def _restart(self, seats: list[Seat], within: int, down: int) -> None:
+        for seat in seats:
+            self._later(int(within * self.chance.uniform()), self.world.crash_seat, seat, down)
+
+    def _older(self, seats: list[Seat], file: str, down: int) -> None:
+        for seat in seats:
+            self.hands.older(seat, file, down)
+
+    def _starve(self, seats: list[Seat], share: float, length: int) -> None:
+        for seat in seats:
+            self.hands.starve(seat, share, length)
+
+    def _skew(self, seats: list[Seat], step: int, length: int) -> None:
+        for seat in seats:
+            seat.step_clock(step)
+            self._later(length, seat.step_clock, -step)
+
+    # Places.
+
+    def _gone(self, place: str, what: str, length: int, noticed: int) -> None:
+        world, hosts = self.world, self._targets(place)
+        if what == "view":
+            # The log tells that they are gone; they are well.
+            world.list_as(hosts, "gone")
+            self._later(length, world.list_as, hosts, "up")
+        if what == "link":
+            self._cut(place, HUB, length)
+        if what in ("caches", "all"):
+            self.tally.struck(self.agenda.now, length, [host.uid for host in hosts], f"gone {place} {what}")
+            self._vanish(hosts, length, noticed)
+        if what in ("dispatchers", "all"):
+            self._down(self._who(place), length)
+
+    def _hub(self, name: str, length: int, noticed: int) -> None:
+        parents, half = self.world.parents, (len(self.world.parents) + 1) // 2
+        hosts = parents[:half] if name == "h0" else parents[half:]
+        self.tally.struck(self.agenda.now, length, [host.uid for host in hosts], f"hub {name}")
+        self._vanish([*hosts], length, noticed)
+
+    def _flap(self, place: str, what: str, on: int, off: int, length: int) -> None:
+        for at in range(0, length, on + off):
+            # Noticed by the log half way through, if at all: it comes late to what comes and goes.
+            self._later(at, self._gone, place, what, min(on, length - at), on // 2)
+
+    # Clients.
+
+    def _move(self, home: str, to: str, share: float, after: int, spread: int, length: int) -> None:
+        front, begin = self.world.front, self.agenda.now
+        move = Move(int(home[1:]), int(to[1:]), share, begin + after, spread)
+        self._later(after, front.moves.append, move)
+
+        def back() -> None:
+            if move in front.moves:
+                front.moves.remove(move)
+
+        self._later(max(length, after + 1), back)
+
+    def _uneven(self, place: str, times: float, length: int) -> None:
+        front, first = self.world.front, self._who(place)[0]
+        front.weights[first.number] = times
+
+        def even() -> None:
+            front.weights.pop(first.number, None)
+
+        self._later(length, even)
+
+
+def sibling_paths(rows: list[Event]) -> bool:
+    """Whether a script has faults between dispatchers, so that ways between them are to be opened."""
+    return any(
+        row.kind in DATAGRAMS or all(str(value).startswith("d") for value in row.values[:2])
+        for row in rows
+        if KINDS[row.kind][:2] == (PARTY, PARTY)
+    )
--- /dev/null
+++ b/hoistplank/lab/fleet/virtual.py
@@ -0,0 +1,100 @@
+"""A scene in virtual time: the same world, faults and tally over Routers whose clock jumps."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+from hoistplank.lab.drives.virtual import VirtualSeat
+from hoistplank.lab.fleet.scene import Scene
+from hoistplank.lab.fleet.tally import Tally
+from hoistplank.lab.fleet.troubles import FleetTroubles, Path
+from hoistplank.lab.fleet.ways import PLAIN, Course, chance
+from hoistplank.lab.model.world import Seat, World
+from hoistplank.lab.policies import Make
+
+Call = tuple[Callable[..., None], tuple[Any, ...]]
+SAMPLE_US = 50_000
+
+
+class OnlyProcesses(Exception):
+    """A fault that virtual time has not; scenes that name one play on processes alone."""
+
+
+class VirtualWays:
+    """All paths on the world's agenda. Each direction keeps its order, as one connection would."""
+
+    def __init__(self, world: World) -> None:
+        self.world, self.courses = world, dict[Path, Course[Call]]()
+
+    def _course(self, path: Path) -> Course[Call]:
+        found = self.courses.get(path)
+        if found is None:
+            name = f"{path[0]}/{'back' if path[1] else 'there'}"
+            found = self.courses[path] = Course(PLAIN, chance(self.world.streams.seed, name))
+        return found
+
+    def send(self, name: str, back: bool, at: int, call: Callable[..., None], *args: Any) -> None:
+        course = self.courses.get((name, back))
+        if course is None or course.terms is PLAIN:
+            # Nothing was ever set on this path: no course, no draw.
+            return self.world.agenda.at(at, call, *args)
+        if at > self.world.agenda.now:
+            return self.world.agenda.at(at, self._arrive, (name, back), (call, args))
+        self._arrive((name, back), (call, args))
+
+    def _arrive(self, path: Path, item: Call) -> None:
+        self._on(self._course(path).push(self.world.agenda.now, 1, item))
+
+    def _on(self, items: list[tuple[int, Call]]) -> None:
+        for at, (call, args) in items:
+            self.world.agenda.at(at, call, *args)
+
+    # What troubles do.
+
+    def turn(self, paths: list[Path], **terms: Any) -> None:
+        for path in paths:
+            course = self._course(path)
+            self._on(course.turned(self.world.agenda.now, course.terms.changed(**terms)))
+
+    def tell(self, ways: list[str], do: str) -> None:
+        raise OnlyProcesses(do)
+
+    def older(self, seat: Seat, file: str, down_us: int) -> None:
+        raise OnlyProcesses("older")
+
+    def starve(self, seat: Seat, share: float, length_us: int) -> None:
+        raise OnlyProcesses("starve")
+
+
+def watched(world: World, tally: Tally) -> None:
+    """Has the tally hear of everything, and sample what is shared, to the day's end."""
+    world.clients.ear, world.truth.drains.heard = tally, tally.shot
+
+    def sample() -> None:
+        now = world.agenda.now
+        if now >= world.shape.start_us():
+            for zone, link in enumerate(world.zone_links):
+                tally.sample(f"link z{zone}", link.room * link.share, [float(link.open)])
+            for one in world.parents:
+                tally.sample(f"link {one.uid}", one.link.room * one.link.share, [float(one.link.open)])
+            tally.sample("origin", float(len(world.origin.free)), [float(len(world.origin.open))])
+        if now < world.shape.last_us():
+            world.agenda.at(now + SAMPLE_US, sample)
+
+    world.agenda.at(0, sample)
+
+
+def built(scene: Scene, seed: int, make: Make) -> tuple[World, Tally]:
+    """A scene's world and tally, ready for `run`. Raises OnlyProcesses."""
+    if "virtual" not in scene.drives:
+        raise OnlyProcesses(scene.name)
+    world = World(scene.shape(), seed)
+    ways = world.ways = VirtualWays(world)
+    zones = [number % scene.locations for number in range(scene.locations * scene.dispatchers)]
+    tally = Tally(world.shape, zones)
+    world.seats.extend(VirtualSeat(world, number, zone, make) for number, zone in enumerate(zones))
+    FleetTroubles(world, scene.rows(), ways, tally).begin()
+    watched(world, tally)
+    return world, tally
+
--- a/hoistplank/lab/model/clients.py
+++ b/hoistplank/lab/model/clients.py
@@ -61,12 +61,27 @@
 class Session:
     """One client: an object and its parts, one after another; `due` are the times of parts that have come."""
 
-    __slots__ = ("at", "due", "group", "left", "out", "parts", "thing", "track", "zone")
+    __slots__ = ("at", "due", "group", "left", "lot", "out", "parts", "thing", "track", "zone")
 
     def __init__(self, track: int, thing: str, zone: int, group: int, parts: int) -> None:
         self.track, self.thing, self.zone, self.group, self.parts = track, thing, zone, group, parts
         self.at, self.due, self.left = 0, list[int](), False  # at: the next part to ask for
         self.out: Visit | None = None
+        self.lot = -1.0  # which clients go elsewhere when their location is lost; drawn once it matters
+
+
+class Ear(Protocol):
+    """Hears of every first part's time, every try and every end, beside what the earnings count."""
+
+    def asked(self, now: int, zone: int, track: int) -> None: ...
+
+    def tried(self, now: int, visit: Visit) -> None:
+        """A dispatcher's connection took it; `visit.seat` names the dispatcher."""
+
+    def answered(self, now: int, visit: Visit, how: str) -> None:
+        """How that try ended; `LEFT` if its client went."""
+
+    def ended(self, due_at: int, zone: int, track: int, share: float, cause: str) -> None: ...
 
 
 class Front(Protocol):
@@ -129,6 +144,7 @@
         self.agenda, self.shape, self.library, self.front = agenda, shape, library, front
         self.earnings, self.open = Earnings(shape), dict[str, Visit]()
         self.number, self.surge = 0, [1.0] * shape.zones
+        self.ear: Ear | None = None
         self._arrivals = [streams.of(f"arrivals of z{n}") for n in range(shape.zones)]
         self._what = [streams.of(f"choices in z{n}") for n in range(shape.zones)]
         self._moods = streams.of("moods")
@@ -166,8 +182,10 @@
     def _due(self, session: Session, size: float) -> None:
         """The time of a part has come: it is asked for once the one before has ended well."""
         self.earnings.ask(self.agenda.now, session.track)
+        if self.ear is not None:
+            self.ear.asked(self.agenda.now, session.zone, session.track)
         if session.left:
-            return self.earnings.end(self.agenda.now, session.track, 0.0, LEFT)
+            return self._left(session, self.agenda.now)
         session.due.append(self.agenda.now)
         if session.out is None:
             self._ask(session, size)
@@ -192,9 +210,21 @@
         self.open[visit.id] = visit
         if not self.front.deliver(visit):
             del self.open[visit.id]
-            if visit.tries > 8:
-                return self._end(visit, 0.0, GONE)
-            self.agenda.at(self.agenda.now + GOES_ON_US, self._send, visit)
+            self._nobody(visit)
+
+    def _nobody(self, visit: Visit) -> None:
+        """Nobody took the connection: another dispatcher, a little later."""
+        if visit.tries > 8:
+            return self._end(visit, 0.0, GONE)
+        self.agenda.at(self.agenda.now + GOES_ON_US, self._send, visit)
+
+    def refused(self, id: str) -> None:
+        """A try whose connection was refused after all: no dispatcher has seen it."""
+        visit = self.open.pop(id, None)
+        if visit is not None and not visit.done:
+            if self.ear is not None:
+                self.ear.answered(self.agenda.now, visit, GONE)
+            self._nobody(visit)
 
     def answered(self, id: str, how: str, wait_us: int = 0, note: int = 0) -> None:
         """A dispatcher's answer to a try, or its connection's end."""
@@ -203,6 +233,8 @@
             return
         now, shape = self.agenda.now, self.shape
         row, took = shape.tracks[visit.track], now - visit.asked_at
+        if self.ear is not None:
+            self.ear.answered(now, visit, how)
         if how == SERVED:
             goal = min(row.goal_us + row.goal_stretch * visit.size_us, row.outer_us)
             share = 1.0 if took <= goal else row.late_share
@@ -224,16 +256,26 @@
             if visit.id in self.open:
                 del self.open[visit.id]
                 self.front.abandon(visit)
+                if self.ear is not None:
+                    self.ear.answered(self.agenda.now, visit, LEFT)
             self._end(visit, 0.0, "client gave up")
 
     def _end(self, visit: Visit, share: float, cause: str, took: int = 0) -> None:
         visit.done = True
         session = visit.session
         self.earnings.end(visit.due_at, visit.track, share, cause, took)
+        if self.ear is not None:
+            self.ear.ended(visit.due_at, visit.zone, visit.track, share, cause)
         session.out = None
         if not share and session.parts > 1:
             session.left = True
             for due in session.due[session.at :]:
-                self.earnings.end(due, session.track, 0.0, LEFT)
+                self._left(session, due)
         elif session.at < len(session.due):
             self._ask(session, visit.size_us)
+
+    def _left(self, session: Session, due_at: int) -> None:
+        """A part that is not asked for any more, since one before it was lost."""
+        self.earnings.end(due_at, session.track, 0.0, LEFT)
+        if self.ear is not None:
+            self.ear.ended(due_at, session.zone, session.track, 0.0, LEFT)
--- a/hoistplank/lab/model/faults.py
+++ b/hoistplank/lab/model/faults.py
@@ -21,7 +21,7 @@
 from hoistplank.lab.model.world import Seat, World
 from hoistplank.operator.faults import Fault, Faults, Place
 from hoistplank.operator.schema import Kind, matching, nearest, number, span, whole
-from hoistplank.operator.text import Atom, Form, parse
+from hoistplank.operator.text import Atom, Form, parse, quote
 
 TARGET = matching(
     r"(origin|caches|parents|z\d{1,4}|cell-\d{1,6}|[cp]\d[\w-]{0,12})(:[01](\.\d{1,4})?)?",
@@ -93,11 +93,14 @@
         return f"(at {self.at}us ({self.text}))" if self.at else f"(at 0s ({self.text}))"
 
 
-def _event(at: int, form: Form, faults: list[Fault]) -> Event | None:
-    words = KINDS.get(form.name)
+Kinds = dict[str, tuple[str | Kind, ...]]
+
+
+def _event(at: int, form: Form, faults: list[Fault], kinds: Kinds) -> Event | None:
+    words = kinds.get(form.name)
     if words is None:
         faults.append(
-            Fault(form.place, f"the unknown fault '{form.name[:40]}'", nearest(form.name, list(KINDS)))
+            Fault(form.place, f"the unknown fault '{form.name[:40]}'", nearest(form.name, list(kinds)))
         )
         return None
     items, values = form.items[1:], []
@@ -116,18 +119,17 @@
                 values.append(word.make(item))
             except ValueError:
                 faults.append(Fault(item.place, str(item), word.wants))
-    text = " ".join(item.text if isinstance(item, Atom) else "" for item in form.items)
+    atoms = [item for item in form.items if isinstance(item, Atom)]
+    text = " ".join(quote(atom.text) if atom.quoted else atom.text for atom in atoms)
     return Event(at, form.name, tuple(values), text)
 
 
-def _moment(item: Atom | Form | None) -> int:
-    if not isinstance(item, Atom):
-        raise ValueError
-    return 0 if item.text == "0s" else int(SPAN.make(item))
-
-
-def events(forms: tuple[Atom | Form, ...], place: Place, faults: list[Fault]) -> list[Event]:
-    """The `(at …)` forms of a script, in the order of their times; what is wrong is added to `faults`."""
+def events(
+    forms: tuple[Atom | Form, ...], place: Place, faults: list[Fault], kinds: Kinds = KINDS
+) -> list[Event]:
+    """The `(at …)` forms of a script, in the order of their times; what is wrong is added to `faults`.
+    `kinds`: the faults that it may hold, and their words.
+    """
     found: list[Event] = []
     for form in forms:
         if not isinstance(form, Form) or form.name != "at":
@@ -149,7 +151,7 @@
             continue
         for inner in form.items[2:]:
             if isinstance(inner, Form):
-                event = _event(at, inner, faults)
+                event = _event(at, inner, faults, kinds)
                 if event is not None:
                     found.append(event)
             else:
@@ -173,6 +175,8 @@
 class Troubles:
     """Carries a script out on a world. `chance` chooses who is struck: the same for every policy."""
 
+    kinds: Kinds = KINDS
+
     def __init__(self, world: World, rows: list[Event]) -> None:
         self.world, self.agenda, self.rows = world, world.agenda, rows
         self.chance = world.stream("faults")
@@ -182,11 +186,15 @@
         start = self.world.shape.start_us()
         for row in self.rows:
             # Chosen now, before anything has happened, so that no policy can change the choice.
-            kinds = [word for word in KINDS[row.kind] if not isinstance(word, str)]
+            kinds = [word for word in self.kinds[row.kind] if not isinstance(word, str)]
             pairs = zip(kinds, row.values, strict=True)
-            struck = tuple(self._targets(value) if kind is TARGET else value for kind, value in pairs)
+            struck = tuple(self._struck(kind, value) for kind, value in pairs)
             self.agenda.at(start + row.at, self._strike, row, struck)
 
+    def _struck(self, kind: Kind, value: Any) -> Any:
+        """What a word of a fault stands for in this world."""
+        return self._targets(value) if kind is TARGET else value
+
     def _strike(self, row: Event, values: tuple[Any, ...]) -> None:
         self.world.note(row.text)
         getattr(self, f"_{row.kind}")(*values)
--- a/hoistplank/lab/model/truth.py
+++ b/hoistplank/lab/model/truth.py
@@ -43,9 +43,26 @@
 
     def __init__(self, tell: Tell) -> None:
         self.tell, self.open = tell, dict[str, Taken]()
+        self.blind: dict[int, int] = {}  # dispatchers not to blame for answers now, by how many causes
 
     def took(self, now: int, seat: int, visit: str, until: int) -> None:
-        self.open[visit] = Taken(seat, until)
+        self.open[visit] = Taken(seat, until, excused=seat in self.blind)
+
+    def refused(self, visit: str) -> None:
+        """Nobody took it after all."""
+        self.open.pop(visit, None)
+
+    def blinded(self, seat: int) -> None:
+        """From now on what a dispatcher answers can't come, or it stands still: that is not its fault."""
+        self.blind[seat] = self.blind.get(seat, 0) + 1
+        self.killed(seat)
+
+    def seeing(self, seat: int) -> None:
+        """One cause of that has ended; what is open still is excused."""
+        self.killed(seat)
+        self.blind[seat] -= 1
+        if not self.blind[seat]:
+            del self.blind[seat]
 
     def answered(self, now: int, visit: str) -> None:
         row = self.open.get(visit)
@@ -54,7 +71,7 @@
         row.answers += 1
         if row.answers > 1:
             self.tell(1, now, f"answer {row.answers} to {visit}")
-        elif now > row.until + SLACK_US and not row.left:
+        elif now > row.until + SLACK_US and not (row.left or row.excused):
             self.tell(1, now, f"{visit} answered {(now - row.until) // 1000} ms after its time was up")
 
     def left(self, now: int, visit: str) -> None:
@@ -110,6 +127,7 @@
 
     def __init__(self, tell: Tell) -> None:
         self.tell, self.told_at = tell, dict[tuple[int, str], int]()
+        self.heard: Callable[[int, int, str, str], None] | None = None  # of every shot, for who counts them
 
     def told(self, now: int, seat: int, host: str, state: str) -> None:
         if state == "up":
@@ -122,6 +140,8 @@
             del self.told_at[pair]
 
     def shot(self, now: int, seat: int, host: str, role: str) -> None:
+        if self.heard is not None:
+            self.heard(now, seat, host, role)
         at = self.told_at.get((seat, host))
         if at is not None and now - at > DRAIN_US:
             self.tell(
--- a/hoistplank/lab/model/world.py
+++ b/hoistplank/lab/model/world.py
@@ -6,7 +6,8 @@
 
 import gc
 from collections.abc import Callable
-from typing import Protocol
+from dataclasses import dataclass
+from typing import Any, Protocol
 
 from hoistplank.interface import HostEntry
 from hoistplank.lab.model.agenda import Agenda
@@ -48,6 +49,16 @@
     def step_clock(self, step_us: int) -> None:
         """Its wall clock jumps; what it measures by its steady one goes on."""
 
+    def freeze(self, length_us: int) -> None:
+        """Its process stands still for so long, and goes on as if nothing were."""
+
+
+class Ways(Protocol):
+    """The paths between parties, in virtual time; on sockets the relays stand there themselves."""
+
+    def send(self, name: str, back: bool, at: int, call: Callable[..., None], *args: Any) -> None:
+        """`call(*args)` once something that is sent at a time has come through."""
+
 
 class ChangeLog:
     """Tells each dispatcher of hosts and purges, late by chance but in order; may stop, skip and come
@@ -74,7 +85,14 @@
         now = self.world.agenda.now
         at = max(self.last.get(seat.number, 0), now + int(self.late * self.chance.between(low, high)))
         self.last[seat.number] = at
-        self.world.agenda.at(at, self._reach, seat, what)
+        if self.world.ways is None:
+            self.world.agenda.at(at, self._reach, seat, what)
+        else:
+            self.world.agenda.at(at, self._over, seat, what)
+
+    def _over(self, seat: Seat, what: Callable[[Seat], None]) -> None:
+        assert self.world.ways is not None
+        self.world.ways.send(f"d{seat.number}>log", True, self.world.agenda.now, self._reach, seat, what)
 
     def _reach(self, seat: Seat, what: Callable[[Seat], None]) -> None:
         if seat.alive:
@@ -131,6 +149,7 @@
         self.clients = Clients(self.agenda, shape, self.streams, self.library, self.front)
         self.log = ChangeLog(self)
         self.cuts: set[frozenset[str]] = set()
+        self.ways: Ways | None = None
         self.happened: list[tuple[int, str]] = []
         # Who is watched for reports, and by second how full its link was.
         self.watched = [*self.caches[:WATCHED], *self.parents[:4], self.origin]
@@ -291,11 +310,28 @@
         self.agenda.at(self.agenda.now + back_after, again)
 
 
+@dataclass(frozen=True, slots=True)
+class Move:
+    """From `since` on, spread over `spread` (us), this share of a location's clients asks in another one."""
+
+    home: int
+    to: int
+    share: float
+    since: int
+    spread: int
+
+
 class Front:
-    """Spreads the visits of a location over its dispatchers; learns late that one is gone."""
+    """Spreads the visits of a location over its dispatchers; learns late that one is gone.
+
+    `moves`: clients that go to another location's dispatchers, as addresses at clients do. `weights`: of a
+    dispatcher against its siblings, where they are not all alike.
+    """
 
     def __init__(self, world: World) -> None:
         self.world, self.chance = world, world.stream("front")
+        self.moves: list[Move] = []
+        self.weights: dict[int, float] = {}
         self._good: list[list[Seat]] = []
 
     def _seats(self, zone: int) -> list[Seat]:
@@ -306,19 +342,49 @@
         return self._good[zone]
 
     def deliver(self, visit: Visit) -> bool:
-        seats = self._seats(visit.zone)
+        seats = self._seats(self._zone_of(visit) if self.moves else visit.zone)
         if not seats:
             return False
-        seat = seats[self.chance.below(len(seats))]
+        seat = self._weighed(seats) if self.weights else seats[self.chance.below(len(seats))]
         if not seat.alive:
             return False
         visit.seat = seat.number
         # The outer limit that a dispatcher is given is the track's, less what earlier tries took.
         until = visit.asked_at + self.world.shape.tracks[visit.track].outer_us
-        self.world.truth.answers.took(self.world.agenda.now, seat.number, visit.id, until)
-        seat.take(visit)
+        now, ways = self.world.agenda.now, self.world.ways
+        self.world.truth.answers.took(now, seat.number, visit.id, until)
+        if self.world.clients.ear is not None:
+            self.world.clients.ear.tried(now, visit)
+        if ways is None:
+            seat.take(visit)
+        else:
+            ways.send(f"clients>d{seat.number}", False, now, seat.take, visit)
         return True
 
+    def _zone_of(self, visit: Visit) -> int:
+        session = visit.session
+        if session.lot < 0:
+            session.lot = self.chance.uniform()
+        now, below = self.world.agenda.now, 0.0
+        for move in self.moves:
+            if move.home != visit.zone:
+                continue
+            # Each client by its own lot: the same ones go, one after the other over the spread.
+            if below <= session.lot < below + move.share:
+                late = (session.lot - below) / move.share * move.spread
+                return move.to if now >= move.since + late else visit.zone
+            below += move.share
+        return visit.zone
+
+    def _weighed(self, seats: list[Seat]) -> Seat:
+        weights = [self.weights.get(seat.number, 1.0) for seat in seats]
+        spot = self.chance.uniform() * sum(weights)
+        for seat, weight in zip(seats, weights, strict=True):
+            spot -= weight
+            if spot < 0:
+                return seat
+        return seats[-1]
+
     def abandon(self, visit: Visit) -> None:
         self.world.truth.answers.left(self.world.agenda.now, visit.id)
         if visit.seat >= 0:
