--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -366,6 +366,27 @@
     assert (held.most, held.over, held.samples) == (1.25, 1, 3)
 
 
+def test_results_become_a_page_and_a_bound_that_fails_an_exit_code(tmp_path: Path) -> None:
+    file, out = tmp_path / "lost.sexp", tmp_path / "out"
+    text = "(scene lost (seconds 3s) (warm 1s) (at 1s (gone z0 caches for 1s noticed 300ms)) (expect {}))"
+    call = CliRunner().invoke
+    words = ["lab", "fleet", str(file), "--drive", "virtual", "--policy", "seer", "--out", str(out)]
+    file.write_text(text.format("earned above 0.999"))
+    failed = call(main, words)
+    assert failed.exit_code == 1 and "lost virtual module seed 1: failed" in failed.output
+    assert "earned above 0.999: 0." in failed.output
+    file.write_text(text.format("earned above 0.1"))
+    held = call(main, words)
+    assert held.exit_code == 0 and "lost virtual seer seed 1: held" in held.output
+    # A second run stands beside the first one, with the faults marked.
+    assert call(main, ["lab", "report", str(out), str(out)]).exit_code == 0
+    page = (out / "report.html").read_text()
+    assert page.count("virtual, module, seed 1") >= 2 * 5 and page.count("<svg") == 5
+    assert "Earnings by location; faults shaded" in page and "gone z0 caches" in page
+    nothing = call(main, ["lab", "fleet", str(SCENES / "starved.sexp"), "--drive", "virtual"])
+    assert nothing.exit_code == 2 and "only processes have" in nothing.output
+
+
 # Whole runs on processes.
 
 SMALL = "(scene s (locations 2) (dispatchers 1) (caches 2) (parents 2) (rate 8) (seconds 2s) (warm 1s) {})"
