A host whose connection is not up in time rests, as one that is silent

A trace of one dispatcher showed 37 shots at the four lost caches in 4 s, each 0.4 s until the connection was given up, and 58 visits turned back meanwhile: a connection that is not up in time marked the host as lost, but let it be chosen again at once, so every visit waited for it and no cache ever counted as out of use, which is what leads visits straight to a parent.

--- a/hoistplank/choice.py
+++ b/hoistplank/choice.py
@@ -255,6 +255,8 @@
         elif result in (Result.NO_CONNECTION, Result.BROKEN):
             # Where only its table of connections was full, a host gets less than it could for its cold time.
             self._lost(now, host, 2 if result == Result.NO_CONNECTION else 1, shot.sent)
+            if result == Result.NO_CONNECTION and 0 < self.rules.connect_us <= took + 50_000:
+                self._doubt(now, host)  # not up in time, as at a vanished machine: the next would wait, too
         if source in self.parents and source != host:
             unreached = result == Result.FULL and 0 < self.rules.connect_us <= took + 50_000
             if note == Note.SOURCE_LOST or (not self.site.notes_all and shot.fill and unreached):
--- a/hoistplank/lab/drives/sockets.py
+++ b/hoistplank/lab/drives/sockets.py
@@ -383,6 +383,9 @@
                 if status == 200:
                     self.entry = await day.entered(self)
                     self.alive = True
+                    # Danger: it may have been given up by the front while it started, and clients would never
+                    # come to it again.
+                    day.world.front.back(self)
                     return
             await asyncio.sleep(0.02)
         raise RuntimeError(f"the dispatcher did not come up: {log.read_text()[-2_000:]}")
