Fleet: ports stay held while nobody listens; no folder before a worker has heard of it

Cause: in 50 cut-off runs 4 empty folders stayed (runner killed before its first worker had its job), and one run in some 90 broke since a relay could not have its port back: another connection had taken it meanwhile.

--- a/hoistplank/lab/drives/sockets.py
+++ b/hoistplank/lab/drives/sockets.py
@@ -29,7 +29,7 @@
 from hoistplank.lab.model.servers import DOWN, Ask, Server
 from hoistplank.lab.model.shape import S, Shape
 from hoistplank.lab.model.world import World
-from hoistplank.standins.deployment import free_port
+from hoistplank.standins.deployment import free_port, held_port
 from hoistplank.standins.wire import Client, connected
 
 LINES = 8  # connections of the front to each dispatcher
@@ -66,11 +66,14 @@
     def __init__(self, day: Day, seat: SocketSeat, server: Server) -> None:
         self.day, self.seat, self.server, self.port = day, seat, server, 0
         self.listening: asyncio.Server | None = None
+        self.kept: socket.socket | None = None  # holds the port while the process is gone
         self.writers: dict[asyncio.StreamWriter, None] = {}
 
     async def open(self) -> None:
-        self.listening = await asyncio.start_server(self._talk, "127.0.0.1", self.port)
-        self.port = int(self.listening.sockets[0].getsockname()[1])
+        if self.kept is None:
+            self.kept = held_port()
+            self.port = int(self.kept.getsockname()[1])
+        self.listening = await asyncio.start_server(self._talk, "127.0.0.1", self.port, reuse_port=True)
 
     def close(self) -> None:
         if self.listening is not None:
@@ -437,6 +440,8 @@
                 client.writer.close()
         for door in self.doors.values():
             door.close()
+            if door.kept is not None:
+                door.kept.close()
 
 
 class Day:
--- a/hoistplank/lab/fleet/relay.py
+++ b/hoistplank/lab/fleet/relay.py
@@ -22,6 +22,7 @@
 from hdrh.histogram import HdrHistogram
 
 from hoistplank.lab.fleet.ways import PLAIN, Course, Datagrams, Terms, chance
+from hoistplank.standins.deployment import held_port
 
 MOST_HELD = 512 * 1024  # bytes of one direction that wait; beyond it the sender is read no more, as by TCP
 TICK_S = 0.02
@@ -203,6 +204,7 @@
     terms: list[Terms] = field(default_factory=lambda: [PLAIN, PLAIN])  # there, back
     joints: dict[Joint, None] = field(default_factory=dict)
     server: asyncio.Server | None = None
+    kept: socket.socket | None = None  # holds the port while nothing listens on it
 
     def __post_init__(self) -> None:
         self.chances = [chance(self.seed, f"{self.name}/there"), chance(self.seed, f"{self.name}/back")]
@@ -219,9 +221,13 @@
 
     async def open(self) -> int:
         if self.server is None:
+            if self.kept is None:
+                self.kept = held_port()
+                self.port = int(self.kept.getsockname()[1])
             loop = asyncio.get_running_loop()
-            self.server = await loop.create_server(lambda: Joint(self).near, "127.0.0.1", self.port)
-            self.port = int(self.server.sockets[0].getsockname()[1])
+            self.server = await loop.create_server(
+                lambda: Joint(self).near, "127.0.0.1", self.port, reuse_port=True
+            )
         return self.port
 
     def shut(self) -> None:
--- a/hoistplank/lab/fleet/runner.py
+++ b/hoistplank/lab/fleet/runner.py
@@ -12,6 +12,7 @@
 from collections.abc import Callable, Coroutine, Iterable
 from pathlib import Path
 from typing import Any
+from uuid import uuid4
 
 import msgspec
 
@@ -170,7 +171,8 @@
     """Every scene on those of the drives that it can play on; `policies` others than the module in virtual
     time alone."""
     swept()
-    folder = keep or Path(tempfile.mkdtemp(prefix=f"{PREFIX}{os.getpid()}-"))
+    # Danger: made here, it would stay where this process is killed before a worker has heard of it.
+    folder = keep or Path(tempfile.gettempdir(), f"{PREFIX}{os.getpid()}-{uuid4().hex[:8]}")
     jobs = [
         Job(
             scene=scene, drive=drive, seed=seed, policy=policy, folder=str(folder), beside=str(beside),
--- a/hoistplank/lab/fleet/work.py
+++ b/hoistplank/lab/fleet/work.py
@@ -28,6 +28,7 @@
 from hoistplank.lab.policies import UnknownPolicy, policy
 from hoistplank.lab.work import result
 
+ORPHANED = threading.Event()  # the runner is gone
 VOID, BROKE, DONE = "void", "broke", "done"
 
 
@@ -106,8 +107,9 @@
     finally:
         if not job.keep:
             shutil.rmtree(place, ignore_errors=True)
-            with contextlib.suppress(OSError):
-                Path(job.folder).rmdir()  # the last one out: its runner may be gone
+            if ORPHANED.is_set():
+                with contextlib.suppress(OSError):
+                    Path(job.folder).rmdir()  # the last one out, since its runner is gone
     rig |= {"late_us": day.late_us(), "relays_late_us": rig.get("late_us", {})}
     return told(job, day.world, day.tally, time.perf_counter() - began, rig)
 
@@ -116,6 +118,7 @@
     """Danger: a runner that was killed reads no result; without this its processes would go on."""
     while os.read(0, 4_096):
         pass
+    ORPHANED.set()
     os.kill(os.getpid(), signal.SIGTERM)
 
 
--- a/hoistplank/standins/deployment.py
+++ b/hoistplank/standins/deployment.py
@@ -23,6 +23,18 @@
 READY_S = 15.0
 
 
+def held_port() -> socket.socket:
+    """A socket bound to a free port of loopback that never listens: connections are refused, and a server may
+    take the port with `reuse_port` and leave it again.
+
+    Danger: a port that nobody holds may become the near end of anybody's connection, and is gone.
+    """
+    held = socket.socket()
+    held.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+    held.bind(("127.0.0.1", 0))
+    return held
+
+
 def free_port() -> int:
     """A loopback port that the system has free now."""
     with socket.socket() as sock:
