--- a/hoistplank/lab/drives/sockets.py
+++ b/hoistplank/lab/drives/sockets.py
@@ -379,9 +379,10 @@
         while time.monotonic() < until and self.process.returncode is None:
             # Danger: where another took the port meanwhile, who listens there may never answer.
             with contextlib.suppress(OSError, asyncio.IncompleteReadError, TimeoutError):
-                client = await connected(("127.0.0.1", self.port))
-                client.send(1, "", script="/-/healthy")
-                status = (await asyncio.wait_for(client.answer(), 1))[1]
+                async with asyncio.timeout(1):
+                    client = await connected(("127.0.0.1", self.port))
+                    client.send(1, "", script="/-/healthy")
+                    status = (await client.answer())[1]
                 client.writer.close()
                 if status == 200:
                     self.entry = await day.entered(self)
--- a/hoistplank/lab/fleet/work.py
+++ b/hoistplank/lab/fleet/work.py
@@ -28,6 +28,7 @@
 from hoistplank.lab.policies import UnknownPolicy, policy
 from hoistplank.lab.work import result
 
+LAST_S = 10.0  # for a worker whose runner is gone to end in order
 ORPHANED = threading.Event()  # the runner is gone
 VOID, BROKE, DONE = "void", "broke", "done"
 
@@ -114,19 +115,24 @@
     return told(job, day.world, day.tally, time.perf_counter() - began, rig)
 
 
-def _end_with_input() -> None:
+def _end_with_input(folder: str) -> None:
     """Danger: a runner that was killed reads no result; without this its processes would go on."""
     while os.read(0, 4_096):
         pass
     ORPHANED.set()
     os.kill(os.getpid(), signal.SIGTERM)
+    # Danger: what does not end in order must not stand for ever; its children die with it.
+    time.sleep(LAST_S)
+    shutil.rmtree(folder, ignore_errors=True)
+    os._exit(143)
 
 
 def main() -> int:
     signal.signal(signal.SIGINT, signal.SIG_IGN)  # an interrupt at the terminal is the runner's to answer
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(143))
     job = msgspec.json.decode(sys.stdin.buffer.readline(), type=Job)
-    threading.Thread(target=_end_with_input, daemon=True, name="runner's end").start()
+    ends = threading.Thread(target=_end_with_input, args=(job.folder,), daemon=True, name="runner's end")
+    ends.start()
     try:
         found = play(job)
     except (UnknownPolicy, virtual.OnlyProcesses) as wrong:
