Free ports lie below those the system gives away, each process beginning at its own

Change: free_port draws from 10,000 to 31,999 by the process's number; the fleet's own way of drawing goes.

--- a/hoistplank/lab/drives/sockets.py
+++ b/hoistplank/lab/drives/sockets.py
@@ -346,7 +346,7 @@
         doesn't serve.
         """
         day = self.day
-        self.port = self.own_port()
+        self.port = free_port()
         rows = [self._target(row) for row in day.world.entries()]
         file = day.folder / f"dispatcher-{self.number}.json"
         known = {
@@ -399,9 +399,6 @@
         await asyncio.sleep(0.05)
         return self.process is not None and self.process.returncode is None
 
-    def own_port(self) -> int:
-        return free_port()
-
     async def _read(self, at: int, client: Client) -> None:
         try:
             while True:
--- a/hoistplank/lab/fleet/processes.py
+++ b/hoistplank/lab/fleet/processes.py
@@ -3,9 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
-import os
-import socket
 import sys
 from collections.abc import Callable
 from pathlib import Path as File
@@ -27,7 +24,6 @@
 # Danger: a machine that has other work holds any process up for a moment; an answer that much late over
 # a socket says nothing of the dispatcher. In virtual time the bound is the laboratory's.
 SLACK_US = 250_000
-PORTS, PORTS_EACH, SLOTS = 10_000, 100, 220  # below those that the system gives away by itself
 STARTS = 3  # of a dispatcher whose port was taken meanwhile
 
 
@@ -41,18 +37,6 @@
         self.starving: asyncio.Task[None] | None = None
         self.sibling = free_port()  # where it hears its siblings
 
-    def own_port(self) -> int:
-        """Of this worker's own range: two runs at a time that drew the same port would each take the other's
-        dispatcher for theirs."""
-        first = PORTS + os.getpid() % SLOTS * PORTS_EACH
-        for n in range(PORTS_EACH):
-            port = first + (self.number + (self.runs + n) * 41) % PORTS_EACH
-            with contextlib.suppress(OSError), socket.socket() as probe:
-                probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-                probe.bind(("127.0.0.1", port))
-                return port
-        return free_port()
-
     async def start(self) -> None:
         """As any dispatcher of the laboratory; another port is tried where its own was taken meanwhile."""
         for left in range(STARTS - 1, -1, -1):
--- a/hoistplank/standins/deployment.py
+++ b/hoistplank/standins/deployment.py
@@ -12,6 +12,7 @@
 import socket
 import sys
 import time
+from itertools import count
 from pathlib import Path
 from typing import Any, Self
 
@@ -23,6 +24,10 @@
 READY_S = 15.0
 
 
+FIRST_PORT, PORTS = 10_000, 22_000
+_drawn = count()
+
+
 def held_port() -> socket.socket:
     """A socket bound to a free port of loopback that never listens: connections are refused, and a server may
     take the port with `reuse_port` and leave it again.
@@ -36,10 +41,17 @@
 
 
 def free_port() -> int:
-    """A loopback port that the system has free now."""
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return int(sock.getsockname()[1])
+    """A port that nobody listens on, below those that the system gives away by itself.
+
+    Danger: one of the system's own is taken by anybody's next connection before it is listened on; and two
+    processes that draw at a time would draw the same. Each begins where its number puts it.
+    """
+    for _ in range(PORTS):
+        port = FIRST_PORT + (os.getpid() * 97 + next(_drawn)) % PORTS
+        with contextlib.suppress(OSError), socket.socket() as probe:
+            probe.bind(("127.0.0.1", port))
+            return port
+    raise RuntimeError(f"no free port from {FIRST_PORT} on")
 
 
 def settings(**changes: Any) -> dict[str, Any]:
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -435,7 +435,7 @@
             asked.append(taken if not asked else free_port())
             return asked[-1]
 
-        monkeypatch.setattr(processes.FleetSeat, "own_port", lambda self: port())
+        monkeypatch.setattr("hoistplank.lab.drives.sockets.free_port", port)
         scene = read(SMALL.format("").encode(), "s")
         day, rig = processes.play(scene, 1, tmp_path, tmp_path)
     assert len(asked) == 3 and rig["chunks"] > 0 and day.tally.firsts > 0
