--- a/hoistplank/choice.py
+++ b/hoistplank/choice.py
@@ -250,15 +250,16 @@
 
     def _learn(self, now: int, visit: Visit, shot: Shot, result: int, took: int, note: int) -> None:
         host, source, track = shot.host, shot.source, visit.track
+        unmade = 0 < self.rules.connect_us <= took + 50_000  # as long as for a connection that is not up in time
         if result in SPOKE:
             self._heard(now, host, shot.sent)
         elif result in (Result.NO_CONNECTION, Result.BROKEN):
             # Where only its table of connections was full, a host gets less than it could for its cold time.
             self._lost(now, host, 2 if result == Result.NO_CONNECTION else 1, shot.sent)
-            if result == Result.NO_CONNECTION and 0 < self.rules.connect_us <= took + 50_000:
-                self._doubt(now, host)  # not up in time, as at a vanished machine: the next would wait, too
+            if result == Result.NO_CONNECTION and unmade:
+                self._doubt(now, host)  # as at a vanished machine: the next would wait as long
         if source in self.parents and source != host:
-            unreached = result == Result.FULL and 0 < self.rules.connect_us <= took + 50_000
+            unreached = result == Result.FULL and unmade
             if note == Note.SOURCE_LOST or (not self.site.notes_all and shot.fill and unreached):
                 # A dead or cut-off parent; without notes, what took as long as a failed connection does.
                 self._lost(now, source, 2, shot.sent)
