--- a/hoistplank/choice.py
+++ b/hoistplank/choice.py
@@ -250,7 +250,7 @@
 
     def _learn(self, now: int, visit: Visit, shot: Shot, result: int, took: int, note: int) -> None:
         host, source, track = shot.host, shot.source, visit.track
-        unmade = 0 < self.rules.connect_us <= took + 50_000  # as long as for a connection that is not up in time
+        unmade = 0 < self.rules.connect_us <= took + 50_000  # as long as a connection that is not up in time
         if result in SPOKE:
             self._heard(now, host, shot.sent)
         elif result in (Result.NO_CONNECTION, Result.BROKEN):
