Change log: alive is what moves on, not bytes; a log that counts anew; no descriptor

Cause: Listing._follow measured silence from heard_at, which any byte moves, and a bare number below ours counted as alive (_take, 'isinstance(told, int)'): a dribble, half a line, or a log that began anew at 1 kept a watch on which no drain could ever come. After a standstill of our own of over 2.2 s the unread numbers looked like silence. A socket that could not be made raised out of run() and ended the program as a broken part. Change: _take alone says what counts, an event or a number in its order; looks count for their own time only; a number behind ours for as long as a connection counts as dead asks for all from 0; a missing descriptor is one more lost connection.

--- a/hoistplank/routing/listing.py
+++ b/hoistplank/routing/listing.py
@@ -19,6 +19,7 @@
 from hoistplank.transport.connection import Connection
 
 SILENT_S = 2.2  # a number comes each second: two missed and some
+LOOK_S = 0.2
 CONNECT_S = 1.0
 FIRST_PAUSE_S, LONGEST_PAUSE_S = 0.05, 1.0  # what it tells counts as told 7 s later, so it is tried often
 
@@ -46,6 +47,8 @@
         self.watch: Watch | None = None
         self.owner, self.address, self.chance = owner, address, chance.random
         self.last, self.listed, self.fresh = 0, False, False
+        self.behind = False  # whether the log tells a number below ours
+        self.moves = 0  # events and numbers that came in their order
         self._moved, self.complaints, self.clock = asyncio.Event(), Complaints(), LogClock()
         for event in known.results:
             self._apply(event)
@@ -65,7 +68,15 @@
             self.owner.tell(Purged(purge.object, purge.bucket, made))
 
     def _take(self, told: Event | int) -> None:
-        self.fresh = True
+        """What makes a connection count as alive is set here alone: an event or a number in its order.
+
+        Danger: bytes that never make a line, or a log that stands behind what we hold, would keep a
+        connection on which no drain can come.
+        """
+        number = told if isinstance(told, int) else told.seq
+        if number < self.last or (number == self.last and not isinstance(told, int)):
+            self.behind = number < self.last
+            return
         if isinstance(told, int):
             if told > self.last:
                 raise BadBytes(f"the change log is at {told}, but its events came only to {self.last}")
@@ -73,8 +84,9 @@
                 self.watch.alive()
         elif told.seq > self.last + 1:
             raise BadBytes(f"event {told.seq} follows event {self.last}")
-        elif told.seq > self.last:
+        else:
             self._apply(told)
+        self.fresh, self.behind, self.moves = True, False, self.moves + 1
 
     def move(self, address: tuple[str, int]) -> None:
         """From now on the change log is followed there, from the last number held."""
@@ -100,7 +112,12 @@
             if self._moved.is_set():
                 pause = FIRST_PAUSE_S
                 continue
-            wrong = following.result()
+            wrong = following.exception() or following.result()
+            if self.behind:
+                # Danger: a log that began anew counts from 1, and none of its events would ever be above
+                # ours. One that is late catches up sooner than a connection counts as dead. All is asked for
+                # again: the first event holds the whole list.
+                self.last, self.behind = 0, False
             if self.fresh:
                 pause = FIRST_PAUSE_S
             self.complaints.tell("change log lost", wrong=str(wrong) or type(wrong).__name__, last=self.last)
@@ -111,7 +128,10 @@
 
     async def _follow(self, address: tuple[str, int]) -> BaseException | str:
         loop = asyncio.get_running_loop()
-        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        try:
+            sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        except OSError as wrong:  # no descriptor just now: it is tried again
+            return wrong
         sock.setblocking(False)
         try:
             async with asyncio.timeout(CONNECT_S):
@@ -134,9 +154,16 @@
         connection.send(changelog.since(self.last))
         task = loop.create_task(connection.run())
         try:
+            silent_s, moves = 0.0, self.moves
             while not task.done():
-                await asyncio.wait((task,), timeout=0.2)
-                if loop.time() - connection.heard_at > SILENT_S:
+                looked = loop.time()
+                await asyncio.wait((task,), timeout=LOOK_S)
+                # Danger: after a standstill of our own, what came meanwhile is still unread, and looks
+                # silent: a look counts for its own time and no more.
+                silent_s += min(loop.time() - looked, LOOK_S)
+                if self.moves != moves:
+                    silent_s, moves = 0.0, self.moves
+                if silent_s > SILENT_S:
                     # A machine that is cut off closes nothing: only the seconds that stay away show it.
                     connection.close()
                     await asyncio.wait((task,))
