A repeat of a keyed request begins within the time in which it is dropped

Cause: _may_repeat is asked when a repeat is decided; over a connection that is still coming up its first byte goes out up to the connection's time-out and 0.1 s later (Shot.may_begin knew only stale_us), after a short window has passed, and the host no longer drops it: an effect twice. Change: Decision.begin_by_us, the end of that time less 50 ms for what may have run; Shot.may_begin holds to it.

--- a/hoistplank/choice.py
+++ b/hoistplank/choice.py
@@ -636,9 +636,12 @@
         if floor:
             # Rule five: an age of 0 would mean the usual one, so the youngest that can be asked is 1.
             oldest = max(1, min(now - floor, oldest or tariff.fresh_us or now - floor))
+        # What may have run is repeated within the time that drops it, its connection's set-up included.
+        until = visit.ran_at + tariff.redo_window_us - 50_000
         self.outbox.append(Decision(
             "shoot", visit.id, self.names[host], self.names[source] if source >= 0 else "",
-            within_us=max(1, visit.outer - now), keep=2, oldest_us=oldest, join=join, shot=shot.number))
+            within_us=max(1, visit.outer - now), keep=2, oldest_us=oldest, join=join, shot=shot.number,
+            begin_by_us=0 if visit.ran_at < 0 or tariff.redo == REDOABLE else until))
 
     def _find_silent(self, now: int) -> None:
         """Takes back shots that hang, and rests the host that they hang at.
--- a/hoistplank/interface.py
+++ b/hoistplank/interface.py
@@ -179,3 +179,4 @@
     shot: int = 0
     wait_us: int = 0
     token: int = 0
+    begin_by_us: int = 0  # a shot that has not begun by then must not any more; 0: no such bound
--- a/hoistplank/routing/shots.py
+++ b/hoistplank/routing/shots.py
@@ -81,6 +81,7 @@
     def __init__(self, owner: Holder, visit: Visit, decision: Decision, now: int) -> None:
         self.owner, self.visit, self.id, self.number = owner, visit, visit.id, decision.shot
         self.host, self.source, self.decided = decision.host, decision.source, now
+        self.begin_by = decision.begin_by_us
         self.began = asyncio.get_running_loop().time()
         self.line: Line | None = None
         self.timer: asyncio.TimerHandle | None = None
@@ -92,13 +93,16 @@
     def may_begin(self) -> bool:
         """Asked just before the first byte: waiting for a connection may have made the shot out of date.
 
-        Danger: a drain's grace, a cold budget or a purge's grace passes while a connection is not yet up.
+        Danger: a drain's grace, a cold budget, a purge's grace or the time in which a repeat is dropped
+        passes while a connection is not yet up, or while its writes are held up.
         """
         if self.over or self.visit.over or not self.owner.is_up(self.host):
             return False
         if self.source and not self.owner.is_up(self.source):
             return False
         self.begun_at = self.owner.clock.now()
+        if 0 < self.begin_by < self.begun_at:
+            return False
         return self.begun_at - self.decided <= self.owner.stale_us
 
     def written(self) -> None:
