One lingering close, one check at the first byte, and a client's end seen while it waits

Cause, each forced by a test over loopback: (1) Connection.finish closed at once, over bytes unread: a reset that takes the last answer with it; after SIGTERM Front.close and the listener's end did so to whoever rested or stood in the backlog. (2) Connection._flush asked begin() and kept a message of which the system took no byte, or that stood behind one cut in two, to be handed over later unasked: to a host that drains by then or for a client that has gone; a flush scheduled by written() could cut a message that is half written. (3) Above 1 MB owed to a client nothing was read from it: its abort or end went unseen. (4) While late, Left was taken before Came and counted a visit out that never was in: Owner.open fell to -1 and the drain never found itself empty. (5) A given-up shot of which the system had a part counted as never run, while the rest of it was still being written. Change: Connection has three states (open, shut, closed) and one way to end in order: what waits is written, the write side is shut, what still comes is read out and dropped for 0.3 s and 256 KB at most. What the system took no byte of is put back and asked again; what it has whole is told at once. Sessions are read while they are owed much, their new requests held back. The drain accepts the backlog, then lets each connection end once nothing is owed on it.

--- a/hoistplank/callers/control.py
+++ b/hoistplank/callers/control.py
@@ -31,7 +31,6 @@
 log = structlog.get_logger()
 OBJECT = re.compile(r"[0-9a-f]{16}").fullmatch
 MOST_IN, MOST_OUT = 65_536, 1_048_576
-LAST_BYTES_S = 0.3
 SILENT_S = 10.0  # a connection on which nothing comes for so long ends
 # Danger: a purge costs fills at every cache; one tenant's script in a loop would empty what all live from.
 PURGES_A_SECOND, PURGES_AT_ONCE = 10.0, 50.0
@@ -77,7 +76,7 @@
         self.identity: Identity | None = None
         self.waiting: deque[Request] = deque()
         self.worker: asyncio.Task[None] | None = None
-        self.leaving, self.ending_at = False, 0.0
+        self.leaving, self.ending = False, False
         make = control.desk.secured(sock, self._told, lambda: None)
         self.connection = make(sock, self.consume, MOST_IN, MOST_OUT)
         self.born = asyncio.get_running_loop().time()
@@ -88,17 +87,14 @@
         self.identity = identity
 
     def consume(self, buffer: bytearray, start: int, end: int) -> int:
-        if self.ending_at:
+        if self.ending:
             return end  # the rest of what can't be used, from the same read
         try:
             self.waiting.extend(self.reader.feed(bytes(buffer[start:end])))
         except BadRequest as wrong:
-            self._answer(refused(wrong.status, str(wrong)), True)
-            # Danger: a close with bytes unread takes the answer with it; the sweep closes this a moment
-            # later.
-            self.ending_at = asyncio.get_running_loop().time()
+            self._answer(refused(wrong.status, str(wrong)), False)
+            self.ending = True
             self.connection.deafen()
-            self.connection.finish(lingering=True)
             return end
         if self.waiting and self.worker is None:
             self.worker = asyncio.get_running_loop().create_task(self._work(), name="control requests")
@@ -120,7 +116,7 @@
             reply(answer.status, msgspec.json.encode(answer.body) + b"\n", keep, answer.wait_us)
         )
         if not keep:
-            self.connection.finish()
+            self.connection.finish(SILENT_S)
 
     def leave(self) -> None:
         self.leaving = True
@@ -191,9 +187,8 @@
             await asyncio.sleep(0.25)
             handshake_s = self.desk.section["tls"]["handshake-time"] / 1e6
             for visitor in list(self.visitors):
-                ended = visitor.ending_at and loop.time() - visitor.ending_at > LAST_BYTES_S
                 unknown = visitor.identity is None and loop.time() - visitor.born > handshake_s
-                if ended or unknown or loop.time() - visitor.connection.heard_at > SILENT_S:
+                if unknown or loop.time() - visitor.connection.heard_at > SILENT_S:
                     visitor.connection.close()
                 else:
                     visitor.connection.trim()
--- a/hoistplank/program/service.py
+++ b/hoistplank/program/service.py
@@ -30,7 +30,8 @@
 WINDOWS_S = 0.9
 # SIGKILL comes no sooner than the longest outer limit, 3 s at most, and 0.7 s more after SIGTERM. What is
 # open is answered in the first part of that 0.7 s, and the bytes are out in the second.
-LONGEST_S, ANSWER_S, BYTE_S = 3.0, 0.25, 0.5
+LONGEST_S, ANSWER_S, BYTE_S = 3.0, 0.2, 0.3
+END_S = 0.62  # and the connections, each in order
 # The program itself takes some 20 MB, and each connection in use some tens of KB.
 LEAST_MB = 48
 SWEEP_S = 0.1
@@ -76,6 +77,7 @@
         self.read_again, self.early = read_again, early
         outer_s = min(LONGEST_S, max(row.outer_us for row in berth.site.tariffs) / 1e6)
         self.last_answer_s, self.last_byte_s = outer_s + ANSWER_S, outer_s + BYTE_S
+        self.end_s = outer_s + END_S
         self.loop = asyncio.get_running_loop()
         self.ledger = Ledger(berth.sockets)
         self.owner = Owner(berth.site, berth.seed, Clock(), berth.open_cap, berth.reported)
@@ -182,13 +184,20 @@
         began = self.loop.time()
         self.enter(Phase.DRAINING)
         self.owner.tell(Closing(self.owner.clock.now() + int(self.last_answer_s * 1e6)))
-        while self.loop.time() < began + self.last_answer_s:
-            await asyncio.sleep(0.02)
-            if self.loop.time() > began + WINDOWS_S and self._is_empty():
-                return
-        self.owner.tell(Closed())
-        while self.loop.time() < began + self.last_byte_s and not self._is_empty():
+        closed = left = False
+        while self.loop.time() < began + self.end_s and not (left and self._is_empty() and not
+        self.front.sessions):
             await asyncio.sleep(0.02)
+            spent = self.loop.time() - began
+            if not closed and spent > self.last_answer_s:
+                closed = True
+                self.owner.tell(Closed())
+            if not left and (spent > self.last_byte_s or (spent > WINDOWS_S and self._is_empty())):
+                # Who rests here may be sending just now: what has come is answered, what comes later finds
+                # the write side shut, and is its client's to send again.
+                left = True
+                await self.listener.stop()
+                self.front.leave()
 
     def _is_empty(self) -> bool:
         return not self.owner.open and not self.owner.queue and self.front.flushed()
--- a/hoistplank/routing/front.py
+++ b/hoistplank/routing/front.py
@@ -20,11 +20,14 @@
 PATH, HEALTH, HEALTH_SCRIPT = "/api/v2/", "/-/healthy", b"/-/healthy"
 MOST_REQUESTS = 32  # open ones a connection
 MOST_IN = 131_072  # a record with its padding
-MOST_OUT = 1_048_576  # what may wait for one client before its next requests are read
+MOST_OUT = 1_048_576  # what may wait for one client before its next requests are taken up
+# What may wait for one before nothing more is read from it: beyond all answers that it can be owed at once.
+MOST_OWED = MOST_OUT + MOST_REQUESTS * 245_760
 IDLE_S = 8.0  # clients close after half of it
 # A connection is to end within 3 s if no request on it becomes whole: a sweep and the close fit in the rest.
 UNFINISHED_S = 2.0
-LAST_BYTES_S = 0.3  # for the answers on a connection that was given up
+LAST_ANSWER_US = 250_000  # before its time is over, what was held back for a slow reader is answered
+SETTLED_S = 0.1  # after its last request an idle client has had its answer
 YOUNG_S = 0.05  # one that has said nothing for less may have its first bytes on the way
 REST_S = 0.02  # between reads of a connection whose last read was turned back at the door
 MOST_BAD = 8  # requests that can't be used, on one connection: usual clients send none
@@ -92,10 +95,11 @@
         self.front, self.reader = front, fastcgi.Reader(MOST_REQUESTS, door)
         self.open: dict[int, Visit | None] = {}
         self.peer, self.identity, self.leaving = peer, None, False
-        self.connection = make(sock, self.consume, MOST_IN, MOST_OUT)
+        self.held_back: dict[int, Visit] = {}  # whole, and not taken up while too much waits for this client
+        self.connection = make(sock, self.consume, MOST_IN, MOST_OWED)
         loop = asyncio.get_running_loop()
         self.born, self.spoke, self.bad, self.counted, self.count = loop.time(), False, 0, 0, 1
-        self.ending, self.ending_at = False, 0.0
+        self.ending = False
         self.begun: dict[int, float] = {}  # unfinished requests by number, and when a sweep first found them
         self.task = loop.create_task(self.connection.run())
         self.task.add_done_callback(self._ended)
@@ -118,8 +122,8 @@
             self.give_up(str(wrong))
         finally:
             self._account()
-            if self.reader.parting and not self.reader.requests:
-                self.connection.finish()
+            if self.reader.parting:
+                asyncio.get_running_loop().call_soon(self.leave)
             if self.reader.turned_away > turned_away:
                 # Danger: a usual client that got nothing but refusals for a while would pass for one that
                 # never spoke, and lose its connection with what it sent meanwhile.
@@ -137,15 +141,16 @@
         """What came is no use: all that is open here is answered at once, no more is read, and it closes."""
         if self.ending:
             return
-        self.ending, self.ending_at = True, asyncio.get_running_loop().time()
+        self.ending = True
         self.front.complaints.tell("client connection given up", wrong=why)
         for number, visit in list(self.open.items()):
             if visit is not None:
                 visit.exchange.write_off()
                 self.front.owner.tell(Left(visit))
             self.open.pop(number, None)
+        self.held_back.clear()
         self.connection.deafen()
-        self.connection.finish(lingering=True)
+        self.connection.finish()
 
     def _whole(self, request: fastcgi.Request) -> None:
         exchange = Exchange(self, request.number, request.keep)
@@ -180,11 +185,33 @@
                 exchange.turn_back(self.front.owner.stay_away_us)
                 return
         self.open[request.number] = visit
-        self.front.owner.tell(Came(visit))
+        if self.connection.out_bytes > MOST_OUT:
+            # Danger: a client that does not read what it is owed would fill the memory. It is read on all the
+            # same: an end that nobody reads is an end that nobody sees, and its requests would be sent on.
+            self.held_back[request.number] = visit
+            self.connection.emptied = self._emptied
+        else:
+            self.front.owner.tell(Came(visit))
+
+    def _emptied(self) -> None:
+        """All that waited for this client has been written."""
+        held, self.held_back = self.held_back, {}
+        for visit in held.values():
+            self.front.owner.tell(Came(visit))
+        if self.leaving and self.idle():
+            self.connection.finish()
+
+    def release(self, now: int) -> None:
+        """What is held back and nearly out of time is taken up after all, to be answered in time."""
+        for number, visit in list(self.held_back.items()):
+            if visit.until - now < LAST_ANSWER_US:
+                del self.held_back[number]
+                self.front.owner.tell(Came(visit))
 
     def _aborted(self, event: fastcgi.Aborted) -> None:
         visit = self.open.pop(event.number, None)
         if visit is not None:
+            self.held_back.pop(event.number, None)
             self.front.owner.tell(Left(visit))
             self._done(visit)
         self.connection.send(fastcgi.ended(event.number, 1))
@@ -201,17 +228,17 @@
         self.connection.send(data)
         if visit is not None:
             self._done(visit)
-        if not exchange.keep or ((self.leaving or self.reader.parting) and not self.reader.requests):
-            self.connection.finish()
+        if not exchange.keep:
+            self.leave()
 
     def _done(self, visit: Visit) -> None:
         if self.front.doorkeeper is not None:
             self.front.doorkeeper.ended(visit)
 
-    def leave(self) -> None:
-        """Ends this connection once all that is open on it has been answered."""
-        self.leaving = True
-        if self.idle():
+    def leave(self, silent_too: bool = True) -> None:
+        """Ends this connection once all that is open on it has been answered, and the answers are out."""
+        self.leaving, self.connection.emptied = True, self._emptied
+        if self.idle() and (silent_too or self.spoke):
             self.connection.finish()
 
     def unfinished(self) -> bool:
@@ -330,12 +357,16 @@
         now = asyncio.get_running_loop().time()
         for session in list(self.sessions):
             connection = session.connection
-            late = session.ending and now - session.ending_at > LAST_BYTES_S
-            if late or connection.is_stuck() or (connection.heard_at < now - IDLE_S and session.idle()):
+            if connection.is_stuck():
                 connection.close()
+            elif connection.finishing:
+                continue  # its end has a clock of its own
+            elif (session.leaving or connection.heard_at < now - IDLE_S) and session.idle():
+                connection.finish()
             elif not session.ending and (why := session.overdue(now)):
                 session.give_up(why)
             else:
+                session.release(self.owner.clock.now())
                 connection.trim()
         total = sum(session.connection.out_bytes for session in self.sessions)
         if total > self.most_out:
@@ -353,8 +384,9 @@
         the idle ones hold most of the room, waiting for the few young ones would leave all others outside.
         """
         now = asyncio.get_running_loop().time()
-        live = [session for session in self.sessions if not session.connection.closing]
-        silent = [session for session in live if session.ending or session.silent()]
+        live = [session for session in self.sessions if not session.connection.finishing]
+        silent = [session for session in self.sessions if session.ending or session.silent()]
+        silent = [session for session in silent if not session.connection.closing]
         old = [session for session in silent if session.ending or now - session.born > YOUNG_S]
         for session in old[: max(1, len(old) // 4)]:  # sessions stand in the order of their coming
             if session.ending or (session.idle() and session.silent()):
@@ -369,11 +401,23 @@
         # Some at once: where thousands come and stay, a look through all for each newcomer would fill a core.
         for session in live[: max(1, len(live) // 16)]:
             if session.idle():
-                session.connection.close()
+                # The last answer has arrived by now, and only what crosses the close is lost: its client
+                # sends it again. Else in order, which takes a moment more.
+                if now - session.connection.heard_at > SETTLED_S:
+                    session.connection.close()
+                else:
+                    session.connection.finish()
 
     def flushed(self) -> bool:
         return all(not session.connection.out_bytes for session in self.sessions)
 
+    def leave(self) -> None:
+        """Each connection ends once nothing is owed on it any more; a young one may have its first bytes on
+        the way, and is left to the sweep."""
+        now = asyncio.get_running_loop().time()
+        for session in list(self.sessions):
+            session.leave(silent_too=now - session.born > YOUNG_S)
+
     def close(self) -> None:
         for session in list(self.sessions):
             session.connection.close()
--- a/hoistplank/routing/owner.py
+++ b/hoistplank/routing/owner.py
@@ -225,7 +225,11 @@
 
     def _left(self, now: int, event: Left) -> None:
         visit = event.visit
-        if not visit.over:
+        if self.visits.get(visit.id) is not visit:
+            # Danger: while late, an end is told before the visit it ends; counted out and never in, the count
+            # of open ones would fall below what is open, and an end in order would wait for it in vain.
+            visit.over = True
+        elif not visit.over:
             self.counts["left"] += 1
             self._over(visit)
             self.router.client_left(now, visit.id)
--- a/hoistplank/transport/connection.py
+++ b/hoistplank/transport/connection.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import enum
 import socket
 from collections import deque
 from collections.abc import Callable
@@ -12,6 +13,11 @@
 SMALL = 8_192  # bytes of a fresh buffer: most requests and answer lines fit
 # A peer that takes nothing of a message for this long is as good as gone: the longest outer limit and more.
 STUCK_S = 15.0
+# How long a connection whose write side is shut waits for the other side's end: what crosses the close is on
+# its way for 50 ms at most, and the other side's own close comes a way there and back later.
+LINGER_S = 0.3
+MOST_DROPPED = 262_144  # bytes that are read out meanwhile: one that floods costs no more
+DROPPED = bytearray(16_384)  # where they go; one for all, as nobody looks at them
 
 Consume = Callable[[bytearray, int, int], int]
 
@@ -20,6 +26,15 @@
     data: bytes
     begin: Callable[[], bool] | None  # asked just before the first byte; False: the message is left out
     written: Callable[[], None] | None  # told once the last byte is with the system
+    untaken: Callable[[], None] | None  # told where the system took no byte of it: it is asked again
+
+
+class State(enum.Enum):
+    """How far a connection is on its way to its end."""
+
+    OPEN = "open"
+    SHUT = "shut"  # our write side is: what still comes is read out and dropped
+    CLOSED = "closed"
 
 
 def _nothing(buffer: bytearray, start: int, end: int) -> int:
@@ -31,7 +46,12 @@
 
     `consume` gets the buffer after each read and returns how far it has been used; what it raises ends this
     connection and no other. What is sent within one turn of the loop goes out in one call. A message is never
-    cut by a later one: what the system does not take at once one task finishes, and all else waits for it.
+    cut by a later one: one that the system takes in part a task finishes, and all else waits for it, and is
+    asked whether it may begin when its turn has come.
+
+    It ends in one place: `finish` writes what waits, shuts the write side, reads out what was still coming
+    and closes (a lingering close); `close` is for what is beyond that, and what a broken or ended peer
+    leaves.
 
     sock_recv_into and sock_sendall cost 29 us a pair on loopback, a standing reader with recv_into and send
     16 us; so sock_sendall only finishes what a first send leaves.
@@ -42,21 +62,27 @@
         self.sock, self.consume, self.most_in, self.most_out = sock, consume, most_in, most_out
         self.buffer, self.start, self.end = bytearray(), 0, 0
         self.out, self.out_bytes = deque[Outgoing](), 0
-        self.closing, self.finishing, self.lingering, self.deaf = False, False, False, False
+        self.state, self.finishing, self.deaf, self.dropped = State.OPEN, False, False, 0
         self.heard_at = self.loop.time()
         self.halved = False  # once it has ended: whether that was inside a message of the other side
         self.writing_since = 0.0  # when the write that the system did not take at once began; 0 without one
         self._over: asyncio.Future[BaseException | None] = self.loop.create_future()
         self._rest: asyncio.Task[None] | None = None
-        self._flushing, self._reading, self._resting = False, False, False
+        self._linger: asyncio.TimerHandle | None = None
+        self._flushing, self._reading, self._resting, self._blocked = False, False, False, False
+        self.emptied: Callable[[], None] | None = None  # told each time all that waited has been written
+
+    @property
+    def closing(self) -> bool:
+        return self.state is State.CLOSED
 
     def send(self, data: bytes, begin: Callable[[], bool] | None = None,
-             written: Callable[[], None] | None = None) -> None:
-        if self.closing:
+             written: Callable[[], None] | None = None, untaken: Callable[[], None] | None = None) -> None:
+        if self.state is not State.OPEN:
             return
-        self.out.append(Outgoing(data, begin, written))
+        self.out.append(Outgoing(data, begin, written, untaken))
         self.out_bytes += len(data)
-        if not self._flushing and self._rest is None:
+        if not (self._flushing or self._blocked) and self._rest is None:
             self._flushing = True
             self.loop.call_soon(self._flush)
 
@@ -66,10 +92,11 @@
             self.buffer, self.start, self.end = bytearray(), 0, 0
 
     def look(self) -> None:
-        """Takes in what has come and was not read yet, as far as one read goes, also while it rests.
+        """Takes in what has come and was not read yet, as far as one read goes, also while it rests or is not
+        served yet.
 
         Danger: a connection that is closed while it rests may have a request unread, which would be lost."""
-        if (self._reading or self._resting) and not self.closing and not self.deaf:
+        if self.state is State.OPEN and not self.deaf and self.out_bytes <= self.most_out:
             self._readable()
 
     def rest(self, seconds: float) -> None:
@@ -91,21 +118,53 @@
     def is_stuck(self) -> bool:
         return self.writing_since > 0 and self.loop.time() - self.writing_since > STUCK_S
 
-    def finish(self, lingering: bool = False) -> None:
-        """Ends the connection once all that waits has been written.
+    def finish(self, last_s: float = LINGER_S) -> None:
+        """Ends the connection in order: what waits is written, `last_s` being given to it, the write side is
+        shut, what was still coming is read out and dropped until the other side ends too or a short time is
+        over; then it is closed.
 
-        Danger: a close with bytes unread resets the connection, and the last answer may be lost with it. A
-        lingering end only tells the other side that no more comes; `close` is left to the caller.
+        Danger: a close over unread bytes resets the connection, and the last answer is lost with it; what is
+        read once the write side is shut can't be answered any more, so it must not be taken either.
         """
-        self.finishing, self.lingering = True, lingering
-        if not self.out_bytes:
-            self._finished()
+        if not self.finishing and self.state is State.OPEN:
+            self.finishing = True
+            self._linger = self.loop.call_later(last_s, self.close)
+            self._emptied()
+
+    def _emptied(self) -> None:
+        """Something has been written, or an end is asked for: whether nothing waits any more."""
+        if self.out_bytes or self.state is not State.OPEN:
+            return
+        if self.finishing:
+            self._shut()
+        elif self.emptied is not None:
+            self.emptied()
 
-    def _finished(self) -> None:
-        if not self.lingering:
-            return self.close()
-        with contextlib.suppress(OSError):
+    def _shut(self) -> None:
+        self.state = State.SHUT
+        self.buffer, self.start, self.end = bytearray(), 0, 0
+        try:
             self.sock.shutdown(socket.SHUT_WR)
+        except OSError:  # the other side has reset it: nothing is left to wait for
+            return self.close()
+        if self._linger is not None:
+            self._linger.cancel()
+        self._linger = self.loop.call_later(LINGER_S, self.close)
+        self._listen()
+
+    def _drop(self) -> None:
+        """Reads out what was still coming, as far as that costs little."""
+        try:
+            got = self.sock.recv_into(DROPPED)
+        except (BlockingIOError, InterruptedError):
+            return
+        except OSError:
+            return self.close()
+        self.dropped += got
+        if got == 0:
+            self.close()
+        elif self.dropped > MOST_DROPPED:
+            self._listen()
 
     def close(self) -> None:
         """Ends the connection now."""
@@ -113,10 +172,16 @@
 
     def _end(self, wrong: BaseException | None) -> None:
         if not self.closing:
-            self.closing = True
+            self.state = State.CLOSED
             if self._reading:
                 self.loop.remove_reader(self.sock)
                 self._reading = False
+            if self._blocked:
+                self.loop.remove_writer(self.sock)
+                self._blocked = False
+            if self._linger is not None:
+                self._linger.cancel()
+                self._linger = None
             if not self._over.done():
                 # Without its traceback, whose frames would hold all this in a ring.
                 self._over.set_result(wrong.with_traceback(None) if wrong is not None else None)
@@ -138,13 +203,15 @@
             self.out_bytes = 0
             # Danger: rings of objects wait for the collector, and on a long day of new connections memory
             # grows until it comes: what refers back is cut here.
-            self.consume, self.halved = _nothing, self.start < self.end
+            self.consume, self.halved, self.emptied = _nothing, self.start < self.end, None
             self.buffer, self.start, self.end = bytearray(), 0, 0
 
     def _listen(self) -> None:
         # A slow reader is asked for nothing more until it has taken half of what waits for it.
         most = self.most_out if self._reading else self.most_out // 2
-        wanted = not (self.closing or self.deaf or self._resting) and self.out_bytes <= most
+        wanted = not (self.deaf or self._resting) and self.out_bytes <= most
+        if self.state is not State.OPEN:
+            wanted = self.state is State.SHUT and self.dropped <= MOST_DROPPED
         if wanted and not self._reading:
             self.loop.add_reader(self.sock, self._readable)
         elif self._reading and not wanted:
@@ -166,7 +233,7 @@
         self.end += got
         self.heard_at = self.loop.time()
         self.start = self.consume(self.buffer, self.start, self.end)
-        if self.deaf:
+        if self.deaf or self.state is not State.OPEN:
             self.start = self.end = 0
 
     def _sealed(self, data: bytes) -> bytes:
@@ -174,6 +241,8 @@
         return data
 
     def _readable(self) -> None:
+        if self.state is State.SHUT:
+            return self._drop()
         try:
             self._take_in()
         except (BlockingIOError, InterruptedError):
@@ -200,39 +269,78 @@
     def _flush(self) -> None:
         """Writes all that waits in one call; with a message a call, calls are a sixth of all time."""
         self._flushing = False
-        while self.out and not self.closing:
+        if self._blocked or self._rest is not None:
+            return  # Danger: written now, it would cut the message that is half with the system
+        if self.out and not self.closing:
+            # What does not begin is left out here, and what begins is with the system at once or asked again:
+            # no message is decided on now and handed over later.
             waiting, self.out = self.out, deque()
-            size = sum([len(item.data) for item in waiting])
             batch = [item for item in waiting if item.begin is None or item.begin()]
-            data = batch[0].data if len(batch) == 1 else b"".join([item.data for item in batch])
-            data = self._sealed(data)
+            plain = batch[0].data if len(batch) == 1 else b"".join([item.data for item in batch])
+            if len(batch) < len(waiting):
+                self.out_bytes -= sum([len(item.data) for item in waiting]) - len(plain)
+            data = self._sealed(plain)
             try:
                 sent = self.sock.send(data) if data else 0
             except (BlockingIOError, InterruptedError):
                 sent = 0
             except OSError as wrong:
                 return self._end(wrong)
-            if sent < len(data):
-                self.writing_since = self.loop.time()
-                self._rest = self.loop.create_task(self._finish_write(memoryview(data)[sent:], batch, size))
-                return
-            self._written(batch, size)
+            if sent == len(data):
+                self.writing_since = 0.0
+                self._written(batch)
+            else:
+                self._held_up(batch, data, sent, data is plain)
+        self._emptied()
+
+    def _held_up(self, batch: list[Outgoing], data: bytes, sent: int, plain: bool) -> None:
+        """The system took a part of a batch: what it has whole is written, what it has begun one task
+        finishes.
+
+        Danger: a message of which it has no byte, kept to be handed over later, would begin then without
+        being asked again, at a host that drains by now or for a client that has gone. Sealed bytes can't be
+        taken apart: there the whole batch has begun.
+        """
+        began, edge = 0, 0
+        while plain and began < len(batch) and edge + len(batch[began].data) <= sent:
+            edge += len(batch[began].data)
+            began += 1
+        whole, rest = batch[:began], batch[began:]
+        if whole or not self.writing_since:
+            self.writing_since = self.loop.time()
+        begun = rest[: int(edge < sent)] if plain else rest
+        for item in rest[len(begun):]:
+            if item.untaken is not None:
+                item.untaken()
+        self.out.extendleft(reversed(rest[len(begun):]))
+        self._written(whole)
+        if self.closing:
+            return
+        if begun:
+            stop = edge + len(begun[0].data) if plain else len(data)
+            self._rest = self.loop.create_task(self._finish_write(memoryview(data)[sent:stop], begun))
+        elif not self._blocked:
+            self._blocked = True
+            self.loop.add_writer(self.sock, self._writable)
+
+    def _writable(self) -> None:
+        self.loop.remove_writer(self.sock)
+        self._blocked = False
+        self._flush()
 
-    async def _finish_write(self, rest: memoryview, batch: list[Outgoing], size: int) -> None:
+    async def _finish_write(self, rest: memoryview, batch: list[Outgoing]) -> None:
         try:
             await self.loop.sock_sendall(self.sock, rest)
         except OSError as wrong:
             return self._end(wrong)
         self.writing_since, self._rest = 0.0, None
-        self._written(batch, size)
+        self._written(batch)
         self._flush()
 
-    def _written(self, batch: list[Outgoing], size: int) -> None:
-        self.out_bytes -= size
+    def _written(self, batch: list[Outgoing]) -> None:
+        self.out_bytes -= sum([len(item.data) for item in batch])
         for item in batch:
             if item.written is not None:
                 item.written()
         if not self._reading:
             self._listen()
-        if self.finishing and not self.out_bytes:
-            self._finished()
--- a/hoistplank/transport/pool.py
+++ b/hoistplank/transport/pool.py
@@ -64,11 +64,6 @@
                 self.end(errand.id)
                 errand.failed("withheld")
                 return False
-            if self.begun > self.sent:
-                # Danger: of messages written in one call that fails, the first may have gone out whole and
-                # run. As soon as several are under way none counts as unwritten.
-                self.sent |= self.begun
-                self.sent.add(errand.id)
             self.begun.add(errand.id)
             return True
 
@@ -77,7 +72,11 @@
                 self.sent.add(errand.id)
                 errand.written()
 
-        connection.send(data, begin, written)
+        def untaken() -> None:
+            if self.open.get(errand.id) is errand:
+                self.begun.discard(errand.id)
+
+        connection.send(data, begin, written, untaken)
 
     def end(self, id: str) -> Errand | None:
         """An errand is over, by its answer or without one; a retired line goes with its last."""
@@ -91,11 +90,12 @@
         return errand
 
     def give_up(self, id: str, farewell: bytes, since: float) -> bool:
-        """Ends an errand and tells the cache host; whether its bytes were all with the system.
+        """Ends an errand and tells the cache host; whether it may have run.
 
+        Danger: one of which the system has a part goes on to be written whole behind our back, and runs.
         A line on which nothing has been heard since the errand began may be dead: it gets no new ones.
         """
-        sent = id in self.sent
+        sent = id in self.begun
         if self.connection is not None and self.connection.heard_at < since:
             self.retired = True
         if id in self.begun and self.connection is not None:
@@ -115,14 +115,18 @@
         if now - self.turned_at > self.pool.remember_s:
             self.turned_at, self.used_before, self.used = now, self.used, set(self.open)
 
-    def close(self) -> None:
+    def close(self, in_order: bool = True) -> None:
+        """Ends the line. In order: what was said last is written, and half a line that is still coming is
+        read out; else at once, which gives up all that is open on it."""
         if not self.over:
             self.over = True
             self.pool.forget(self)
-            if self.connection is not None:
-                self.connection.close()
-            else:
+            if self.connection is None:
                 self.task.cancel()
+            elif in_order:
+                self.connection.finish()
+            else:
+                self.connection.close()
 
     async def _run(self) -> str:
         how = await self._connect()
@@ -258,7 +262,9 @@
         for line in self._all():
             stuck = line.connection is not None and line.connection.is_stuck()
             idle = not line.open and line.idle_since < now - self.idle_s
-            if idle or stuck or (awake and line.is_halted()):
+            if stuck or (awake and line.is_halted()):
+                line.close(in_order=False)
+            elif idle:
                 line.close()
             else:
                 line.turn_over(now)
@@ -273,4 +279,4 @@
 
     def close(self) -> None:
         for line in self._all():
-            line.close()
+            line.close(in_order=False)
--- a/hoistplank/transport/tls.py
+++ b/hoistplank/transport/tls.py
@@ -10,7 +10,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from hoistplank.transport.connection import Connection, Consume
+from hoistplank.transport.connection import Connection, Consume, State
 
 # What is read from a socket before it is opened; one for all, as it is used up within the call. A record
 # holds
@@ -80,7 +80,7 @@
         return not self.closing
 
     def _open_records(self) -> None:
-        while not self.closing:
+        while self.state is State.OPEN:
             if self.end == len(self.buffer):
                 self._make_room()
             with memoryview(self.buffer) as view, view[self.end :] as free:
@@ -103,7 +103,7 @@
                 done += self._tls.write(view[done:])
         return self._outgoing.read()
 
-    def _finished(self) -> None:
+    def _shut(self) -> None:
         # close_notify: without it the other side can't tell an end from a cut (RFC 8446 section 6.1).
         if self.phase is Phase.OPEN and not self.closing:
             with contextlib.suppress(ssl.SSLError, OSError):
@@ -111,4 +111,4 @@
                     self._tls.unwrap()
                 except ssl.SSLWantReadError:
                     self.sock.send(self._outgoing.read())
-        super()._finished()
+        super()._shut()
