A client's copy is called current only where the host names that very copy

Change: the answer's digest has to be the tag that was passed on; else the answer is spoilt and costs its connection. The test of an unchanged copy answered with a tag that its client never named; it answers with the client's now, and a case 'another copy named' stands beside it.

--- a/hoistplank/protocol/cachewire.py
+++ b/hoistplank/protocol/cachewire.py
@@ -42,14 +42,18 @@
         return found if all(0 <= figure <= MOST_REPORT for figure in found) else []
 
 
-def check(answer: Answer, probe: bool, names_copy: bool, of_copy: bool) -> None:
-    """Raises BadBytes where a word or its fields don't fit what was asked."""
+def check(answer: Answer, probe: bool, holds: str, of_copy: bool) -> None:
+    """Raises BadBytes where a word or its fields don't fit what was asked; `holds` is the tag of the client's
+    copy that was passed on, or empty."""
     if (answer.word in PROBE_WORDS) != probe:
         raise BadBytes(f"'{answer.word}' answers a {'probe' if probe else 'shot'}")
     if answer.word not in OK_WORDS:
         return
-    if answer.word == "still_good" and not (names_copy and not answer.body):
+    if answer.word == "still_good" and (not holds or answer.body):
         raise BadBytes("'still_good' without a copy to be good, or with bytes")
+    if answer.word == "still_good" and answer.fields.get("digest", "") != holds:
+        # Danger: the client would be told that its copy is the one, of which nobody has said so.
+        raise BadBytes(f"'still_good' names '{answer.fields.get('digest', '')[:20]}', not the client's copy")
     for name in ("digest", "dated") if of_copy else ():
         if not answer.fields.get(name):
             raise BadBytes(f"an ok answer lacks the field '{name}'")
--- a/hoistplank/routing/caches.py
+++ b/hoistplank/routing/caches.py
@@ -23,9 +23,9 @@
                 # nothing of the others: it is dropped, and the connection goes on.
                 errand = line.open.get(answer.id)
                 if isinstance(errand, Shot):
-                    cachewire.check(answer, False, bool(errand.visit.holds), errand.visit.kept)
+                    cachewire.check(answer, False, errand.visit.holds, errand.visit.kept)
                 elif isinstance(errand, Probe):
-                    cachewire.check(answer, True, False, False)
+                    cachewire.check(answer, True, "", False)
                 if isinstance(errand, Shot | Probe):
                     line.end(answer.id)
                     errand.answered(answer)
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -132,9 +132,12 @@
 
 
 def test_unchanged_copy_is_told_as_valid(tmp_path: Path) -> None:
+    def unchanged(id: str, fields: dict[str, str], body: bytes) -> bytes:
+        return f"{id} still_good digest={fields['got']},dated=1 0\r\n\r\n".encode()
+
     async def scene() -> None:
         async with Running(
-            tmp_path, {"a": CacheHost(said("still_good")), "o": CacheHost(served)}
+            tmp_path, {"a": CacheHost(unchanged), "o": CacheHost(served)}
         ) as dispatcher:
             status, head, body = await dispatcher.ask(1, "page", fields={"HTTP_X_KNOWN": "ab" * 8})
             assert (status, body) == (200, b"") and b"X-Valid: 1" in head
@@ -490,6 +493,7 @@
     "half an answer": lambda id: whole(id)[:5000],
     "probe's word": lambda id: f"{id} green - 0\r\n\r\n".encode(),
     "no copy named": lambda id: f"{id} still_good digest=aa,dated=1 0\r\n\r\n".encode(),
+    "another copy named": lambda id: f"{id} still_good digest=aa,dated=1 0\r\n\r\n".encode(),
     "no fields": lambda id: f"{id} served - 2\r\nab\r\n".encode(),
     "not dated": lambda id: f"{id} served digest=aa,dated=nan 2\r\nab\r\n".encode(),
 }
@@ -513,7 +517,7 @@
         async with Running(tmp_path, {"a": box, "o": origin}) as dispatcher:
             dispatcher.client.send(1, "page", {"HTTP_X_SUBJECT": "ab" * 8, "HTTP_X_DEADLINE_MS": "900"})
             await until(lambda: len(box.seen) == 1)
-            dispatcher.client.send(2, "page")
+            dispatcher.client.send(2, "page", {"HTTP_X_KNOWN": "cd" * 8} if kind[:7] == "another" else {})
             answers = [await asyncio.wait_for(dispatcher.client.answer(), 2)]
             if kind in SPOILT:
                 answers.append(await asyncio.wait_for(dispatcher.client.answer(), 2))
