--- a/tests/test_cold_fleet.py
+++ b/tests/test_cold_fleet.py
@@ -85,14 +85,14 @@
 
 
 def worst(sent: list[int], units: float) -> tuple[float, str]:
-    """By how much a window's sum passes what the host may get then, 2 x root of N + 2 being chance."""
+    """By how much a window passes what the host may get in it, 2 x root of N + 2 being chance."""
     found, first = (-1e9, ""), 0
     for last, now in enumerate(sent):
         while sent[first] <= now - WINDOW:
             first += 1
         most = MULTIPLE * units * (LEAST + (1 - LEAST) * now / COLD) * WINDOW / SEND
         over = last - first + 1 - (most + 2 * sqrt(most) + 2)
-        found = max(found, (over, f"{last - first + 1} sent of {most:.0f} within a window at {now / S:.2f} s"))
+        found = max(found, (over, f"{last - first + 1} sent of {most:.0f} in a window at {now / S:.2f} s"))
     return found
 
 
