Words: idempotent, keyed and non-idempotent for redoable, labelled and irreversible

Need: the users ask for the field's standard terms; the three kinds of class are known by these. No change of behaviour.

--- a/benchmarks/levels.py
+++ b/benchmarks/levels.py
@@ -44,7 +44,7 @@
 
 
 def the_plan(shape: Shape) -> Plan:
-    tracks = {row.name: row.redo for row in shape.site(0, 0).tariffs}
+    tracks = {row.name: row.semantics for row in shape.site(0, 0).tariffs}
     return plan(PLAN_FILE.read_text(), tracks)
 
 
--- a/benchmarks/starters.py
+++ b/benchmarks/starters.py
@@ -47,7 +47,7 @@
     0,
 )
 PAGE = Tariff(
-    "page", 300_000, 2.0, 2_500_000, 1.0, 0.2, "redoable", "", 0, 8_000_000, 10_000_000, 0.7, False, False
+    "page", 300_000, 2.0, 2_500_000, 1.0, 0.2, "idempotent", "", 0, 8_000_000, 10_000_000, 0.7, False, False
 )
 
 
--- a/hoistplank/callers/desk.py
+++ b/hoistplank/callers/desk.py
@@ -20,7 +20,7 @@
 from hoistplank.callers.limits import room
 from hoistplank.callers.proofs import Issuer, KeySet
 from hoistplank.callers.revoked import BadRevocation, Revocation
-from hoistplank.interface import REDOABLE, Site
+from hoistplank.interface import IDEMPOTENT, Site
 from hoistplank.operator.faults import Fault, Faults
 from hoistplank.operator.schema import Section
 from hoistplank.routing.clock import Clock
@@ -77,8 +77,8 @@
     def __init__(self, section: Section, file: str, site: Site, clock: Clock | None = None) -> None:
         self.section, self.file, self.site, self.clock = section, file, site, clock or Clock()
         self.folder = Path(file).parent  # the files that it names stand beside it
-        self.windows = {row.name: row.outer_us + row.redo_window_us for row in site.tariffs}
-        self.books = {row.name for row in site.tariffs if row.redo != REDOABLE}
+        self.windows = {row.name: row.outer_us + row.dedup_window_us for row in site.tariffs}
+        self.books = {row.name for row in site.tariffs if row.semantics != IDEMPOTENT}
         self.generation = 1
         self.host: Host | None = None
         now = self.clock.now()
--- a/hoistplank/choice.py
+++ b/hoistplank/choice.py
@@ -12,8 +12,8 @@
 from random import Random
 
 from hoistplank.interface import (
-    IRREVERSIBLE,
-    REDOABLE,
+    IDEMPOTENT,
+    NON_IDEMPOTENT,
     Decision,
     HostEntry,
     Note,
@@ -409,8 +409,8 @@
     def _finish(self, visit: Visit) -> None:
         """The final answer of a visit that is given up on, at once."""
         tariff = visit.track.tariff
-        harmless = tariff.redo == REDOABLE or visit.ran_at < 0
-        if harmless or (tariff.redo != IRREVERSIBLE and tariff.redo_group == "all"):
+        harmless = tariff.semantics == IDEMPOTENT or visit.ran_at < 0
+        if harmless or (tariff.semantics != NON_IDEMPOTENT and tariff.dedup_group == "all"):
             wait = int(self.rules.max_return_us * self.rules.may_name_return * (0.5 + self.chance() / 2))
             self.outbox.append(Decision("turn_back", visit.id, wait_us=wait))
         else:
@@ -420,15 +420,15 @@
     def _may_repeat(self, now: int, visit: Visit, host: int) -> bool:
         """Rule two: whether this visit may be shot (again) at this host."""
         tariff, most = visit.track.tariff, self.rules.max_shots
-        most = min(most, self.reduced.most_shots or most) if tariff.redo == REDOABLE else most
+        most = min(most, self.reduced.most_shots or most) if tariff.semantics == IDEMPOTENT else most
         if visit.over or visit.out or visit.shots >= most:
             return False
-        if visit.ran_at < 0 or tariff.redo == REDOABLE:
+        if visit.ran_at < 0 or tariff.semantics == IDEMPOTENT:
             return True
-        if tariff.redo == IRREVERSIBLE or now + 50_000 > visit.ran_at + tariff.redo_window_us:
+        if tariff.semantics == NON_IDEMPOTENT or now + 50_000 > visit.ran_at + tariff.dedup_window_us:
             return False
-        places = self.zones if tariff.redo_group == "zone" else self.cells
-        return tariff.redo_group == "all" or places[visit.ran_host] == places[host]
+        places = self.zones if tariff.dedup_group == "zone" else self.cells
+        return tariff.dedup_group == "all" or places[visit.ran_host] == places[host]
 
     def _may_retry(self, now: int, visit: Visit) -> bool:
         """Shots beyond the first stay within a share of first shots of some 10 s, by track and by the host
@@ -639,11 +639,11 @@
             # Rule five: an age of 0 would mean the usual one, so the youngest that can be asked is 1.
             oldest = max(1, min(now - floor, oldest or tariff.fresh_us or now - floor))
         # What may have run is repeated within the time that drops it, its connection's set-up included.
-        until = visit.ran_at + tariff.redo_window_us - 50_000
+        until = visit.ran_at + tariff.dedup_window_us - 50_000
         self.outbox.append(Decision(
             "shoot", visit.id, self.names[host], self.names[source] if source >= 0 else "",
             within_us=max(1, visit.outer - now), keep=2, oldest_us=oldest, join=join, shot=shot.number,
-            begin_by_us=0 if visit.ran_at < 0 or tariff.redo == REDOABLE else until))
+            begin_by_us=0 if visit.ran_at < 0 or tariff.semantics == IDEMPOTENT else until))
 
     def _find_silent(self, now: int) -> None:
         """Takes back shots that hang, and rests the host that they hang at.
@@ -670,6 +670,6 @@
                 self._withdraw(shot)
 
     def _withdraw(self, shot: Shot) -> None:
-        if self.rules.may_withdraw and shot.visit.track.tariff.redo == REDOABLE and not shot.fixed:
+        if self.rules.may_withdraw and shot.visit.track.tariff.semantics == IDEMPOTENT and not shot.fixed:
             shot.fixed = True
             self.outbox.append(Decision("withdraw", shot.visit.id, shot=shot.number))
--- a/hoistplank/facts.py
+++ b/hoistplank/facts.py
@@ -9,9 +9,9 @@
 from decimal import Decimal, InvalidOperation
 from typing import Any
 
-from hoistplank.interface import IRREVERSIBLE, LABELLED, REDOABLE, HouseRules, Site, Tariff
+from hoistplank.interface import IDEMPOTENT, KEYED, NON_IDEMPOTENT, HouseRules, Site, Tariff
 
-REDO = {"idempotent": REDOABLE, "deduplicated": LABELLED, "at_most_once": IRREVERSIBLE}
+SEMANTICS = {"idempotent": IDEMPOTENT, "deduplicated": KEYED, "at_most_once": NON_IDEMPOTENT}
 REPORT_NAMES = {"rif": "held", "busy": "busy", "x0": "hit_share", "x1": "link_full", "q": "queued"}
 
 
@@ -119,9 +119,9 @@
 
 def tariff(facts: Fields, index: int) -> Tariff:
     at, info = f"classes.{index}.", "family_info."
-    redo = facts.text(at + "semantics")
-    if redo not in REDO:
-        raise FactError(f"field '{at}semantics' has no meaning '{redo[:20]}'")
+    semantics = facts.text(at + "semantics")
+    if semantics not in SEMANTICS:
+        raise FactError(f"field '{at}semantics' has no meaning '{semantics[:20]}'")
     uncached, old = _row(facts, info + "uncached"), _row(facts, info + "worth_when_old")
     return Tariff(
         name=facts.text(at + "name"),
@@ -130,9 +130,9 @@
         outer_us=facts.micros(at + "give_up"),
         earnings=facts.number(at + "gain", 1.0),
         late_share=facts.number(at + "late_value", 0.0),
-        redo=REDO[redo],
-        redo_group=facts.text(at + "group", ""),
-        redo_window_us=facts.micros(at + "dedup_window", 0),
+        semantics=SEMANTICS[semantics],
+        dedup_group=facts.text(at + "group", ""),
+        dedup_window_us=facts.micros(at + "dedup_window", 0),
         fresh_us=_times(facts, info + "lifetime_by_class", index),
         grace_us=_times(facts, info + "class_grace", index),
         old_share=numbers(old[index], info + "worth_when_old")[0] if index < len(old) else 0.0,
--- a/hoistplank/interface.py
+++ b/hoistplank/interface.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from typing import NamedTuple
 
-REDOABLE, LABELLED, IRREVERSIBLE = "redoable", "labelled", "irreversible"
+IDEMPOTENT, KEYED, NON_IDEMPOTENT = "idempotent", "keyed", "non-idempotent"
 
 
 class Result:
@@ -41,9 +41,9 @@
     outer_us: int
     earnings: float
     late_share: float
-    redo: str
-    redo_group: str
-    redo_window_us: int
+    semantics: str
+    dedup_group: str
+    dedup_window_us: int
     fresh_us: int
     grace_us: int
     old_share: float
--- a/hoistplank/lab/drives/sockets.py
+++ b/hoistplank/lab/drives/sockets.py
@@ -260,7 +260,7 @@
             "HTTP_X_TAG": str(visit.group),
             "HTTP_X_DEADLINE_MS": str(max(1, left_ms)),
         }
-        if row.redo == "deduplicated":
+        if row.semantics == "deduplicated":
             fields["HTTP_X_OPERATION_KEY"] = visit.key
         if visit.tries > 1:
             fields["HTTP_X_RESENT"] = "1"
--- a/hoistplank/lab/drives/steward.py
+++ b/hoistplank/lab/drives/steward.py
@@ -32,7 +32,7 @@
 
 def plan(text: str, tracks: dict[str, str], admission: bool = True) -> Plan:
     """A plan from the text of a `(levels …)` form, as the operator's file has it; raises Faults.
-    `tracks`: name -> redo, of the world's settings."""
+    `tracks`: name -> semantics, of the world's settings."""
     section = understood(text.encode(), "levels")["levels"]
     if section is None:
         raise Faults([Fault(understood(b"", "levels").place, "no '(levels …)'", "the form of the levels")])
--- a/hoistplank/lab/model/clients.py
+++ b/hoistplank/lab/model/clients.py
@@ -241,7 +241,7 @@
             share *= row.old_share if note == Note.OLD else 1.0
             cause = "served old" if note == Note.OLD else "served" if took <= goal else "served late"
             return self._end(visit, share, cause, took)
-        may = row.redo != "at_most_once" or how == BACK
+        may = row.semantics != "at_most_once" or how == BACK
         # Danger: a repeat of what may have run elsewhere is the client's own risk; written off is not
         # repeated.
         if how != OFF and may and visit.tries <= shape.retries:
--- a/hoistplank/lab/model/shape.py
+++ b/hoistplank/lab/model/shape.py
@@ -26,7 +26,7 @@
     goal_stretch: float = 2.0
     outer_us: int = 2_500_000
     late_share: float = 0.2
-    redo: str = "idempotent"
+    semantics: str = "idempotent"
     group: str = "all"
     window_us: int = 0
     spread: float = 0.7  # sigma of the logarithm of sizes
@@ -64,7 +64,7 @@
     goal_us=600_000,
     goal_stretch=0.0,
     outer_us=3 * S,
-    redo="deduplicated",
+    semantics="deduplicated",
     window_us=5 * S,
     uncached=True,
     spread=0.3,
@@ -77,7 +77,7 @@
     goal_us=800_000,
     goal_stretch=0.0,
     outer_us=3 * S,
-    redo="at_most_once",
+    semantics="at_most_once",
     uncached=True,
     spread=0.3,
 )
@@ -165,7 +165,7 @@
                 "target": row.goal_us / S,
                 "aim_stretch": row.goal_stretch,
                 "give_up": row.outer_us / S,
-                "semantics": row.redo,
+                "semantics": row.semantics,
                 "group": row.group,
                 "dedup_window": row.window_us / S,
                 "gain": row.earnings,
--- a/hoistplank/lab/model/truth.py
+++ b/hoistplank/lab/model/truth.py
@@ -104,7 +104,7 @@
 
 
 class Effects:
-    """Rule two: no effect twice, but for a repeat of a labelled visit at the same origin within its
+    """Rule two: no effect twice, but for a repeat of a keyed visit at the same origin within its
     window.
     """
 
--- a/hoistplank/lab/policies.py
+++ b/hoistplank/lab/policies.py
@@ -18,7 +18,7 @@
 from typing import Any, Protocol
 
 from hoistplank.choice import Herd, Router, Visit
-from hoistplank.interface import IRREVERSIBLE, REDOABLE, Decision, HostEntry, Result, Site
+from hoistplank.interface import IDEMPOTENT, NON_IDEMPOTENT, Decision, HostEntry, Result, Site
 from hoistplank.lab.model.servers import UP
 from hoistplank.lab.model.world import World
 
@@ -237,7 +237,7 @@
     def _give_up(self, id: str) -> None:
         row = self.visits.pop(id)
         tariff = self.tracks[row[0]]
-        harmless = tariff.redo == REDOABLE or not row[7]
+        harmless = tariff.semantics == IDEMPOTENT or not row[7]
         self.box.append(Decision("turn_back" if harmless else "write_off", id, wait_us=0))
 
     def shot_ended(
@@ -267,7 +267,7 @@
 
     def _may_repeat(self, row: list[Any]) -> bool:
         """Rule two, for a visit whose last shot has failed."""
-        return not row[7] or self.tracks[row[0]].redo != IRREVERSIBLE
+        return not row[7] or self.tracks[row[0]].semantics != NON_IDEMPOTENT
 
 
 class ByChance(Plain):
--- a/hoistplank/levels/desk.py
+++ b/hoistplank/levels/desk.py
@@ -34,7 +34,7 @@
 def built(section: Section, berth: Berth) -> tuple[Ladder, Gauges, Reduced]:
     """The ladder, the gauges and what holds at full service; raises Faults."""
     faults: list[Fault] = []
-    tracks = {row.name: row.redo for row in berth.site.tariffs}
+    tracks = {row.name: row.semantics for row in berth.site.tariffs}
     forms.tracks_known(section, tracks, faults)
     made = forms.levels(section, faults)
     ages = forms.ages(section, faults)
--- a/hoistplank/levels/forms.py
+++ b/hoistplank/levels/forms.py
@@ -177,13 +177,13 @@
 def tracks_known(section: Section, tracks: dict[str, str], faults: list[Fault]) -> None:
     """Every track named is one of the settings', and bookings stay whole: a track whose visits may not
     always be sent again is never turned back by a level (nor held to fewer shots, by the router). `tracks`:
-    name -> redo."""
+    name -> semantics."""
     for level in section["level"]:
         for field in ("turn-back", "old-first"):
             for track in level[field]:
                 if track not in tracks:
                     faults.append(Fault(level.at(field), f"the track '{track}'",
                                         "one of the settings': " + ", ".join(sorted(tracks))))
-                elif field == "turn-back" and tracks[track] != "redoable":
+                elif field == "turn-back" and tracks[track] != "idempotent":
                     faults.append(Fault(level.at(field), f"the {tracks[track]} track '{track}'",
-                                        "a redoable track: bookings stay whole at every level"))
+                                        "a idempotent track: bookings stay whole at every level"))
--- a/hoistplank/routing/front.py
+++ b/hoistplank/routing/front.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable
 from typing import Any, NamedTuple, Protocol
 
-from hoistplank.interface import LABELLED, Site
+from hoistplank.interface import KEYED, Site
 from hoistplank.protocol import fastcgi
 from hoistplank.protocol.errors import BadBytes
 from hoistplank.routing.complaints import Complaints
@@ -331,7 +331,7 @@
         outer_ms = tariff.outer_us * 11 // 10_000 + 50
         until = now + whole(fields, "HTTP_X_DEADLINE_MS", None, 1, outer_ms) * 1000
         key, holds = fields.get("HTTP_X_OPERATION_KEY", ""), fields.get("HTTP_X_KNOWN", "")
-        if (key or tariff.redo == LABELLED) and not KEY(key):
+        if (key or tariff.semantics == KEYED) and not KEY(key):
             raise BadBytes(f"X-Operation-Key '{key[:60]}' is not of 32 hex digits")
         if holds and not HEX(holds):
             raise BadBytes(f"X-Known '{holds[:60]}' is not of 16 hex digits")
@@ -340,7 +340,7 @@
             raise BadBytes(f"X-Resent '{again[:60]}' is not 1")
         return Visit(
             exchange, id, tariff.name, thing, whole(fields, "HTTP_X_CHUNK", 0, 0, MOST_PART),
-            whole(fields, "HTTP_X_TAG", 0, 0, MOST_GROUP), key if tariff.redo == LABELLED else "", holds,
+            whole(fields, "HTTP_X_TAG", 0, 0, MOST_GROUP), key if tariff.semantics == KEYED else "", holds,
             body, until, again == "1", not tariff.uncached, taken=now,
         )
 
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -43,7 +43,7 @@
     False,
     0,
 )
-VIDEO = Tariff("video", 500_000, 2.0, 5_000_000, 2.0, 0.2, "redoable", "", 0, 0, 0, 0.0, False, False)
+VIDEO = Tariff("video", 500_000, 2.0, 5_000_000, 2.0, 0.2, "idempotent", "", 0, 0, 0, 0.0, False, False)
 TRACKS = (
     VIDEO,
     replace(
@@ -55,10 +55,14 @@
         fresh_us=8_000_000,
         grace_us=10_000_000,
     ),
-    replace(VIDEO, name="once", redo="irreversible", uncached=True, outer_us=3_000_000),
-    replace(VIDEO, name="mark", redo="labelled", redo_group="all", redo_window_us=3_000_000, uncached=True),
+    replace(VIDEO, name="once", semantics="non-idempotent", uncached=True, outer_us=3_000_000),
+    replace(
+        VIDEO, name="mark", semantics="keyed", dedup_group="all", dedup_window_us=3_000_000, uncached=True
+    ),
     replace(VIDEO, name="flat", goal_us=300_000, goal_stretch=0.0),
-    replace(VIDEO, name="zoned", redo="labelled", redo_group="zone", redo_window_us=3_000_000, uncached=True),
+    replace(
+        VIDEO, name="zoned", semantics="keyed", dedup_group="zone", dedup_window_us=3_000_000, uncached=True
+    ),
 )
 SITE = Site(
     RULES,
