--- a/benchmarks/callers.py
+++ b/benchmarks/callers.py
@@ -377,7 +377,7 @@
         told, _ = await beside.communicate()
         counts.update(json.loads(told))
     return {
-        "flood_goal_share": round(statistics.mean(rough) / statistics.mean(calm), 4),
+        "flood_target_share": round(statistics.mean(rough) / statistics.mean(calm), 4),
         "calm": calm,
         "rough": rough,
         "flood_sent": dict(counts),
@@ -563,7 +563,7 @@
         "none_wrongly_allowed": changed["wrongly_allowed"] == 0,
         "none_lost": changed["lost"] == 0,
         "revocation_within_1_s": changed["revoked_to_last_taken_s"] <= GRACE_S,
-        "flood_leaves_98_percent": rough["flood_goal_share"] >= 0.98,
+        "flood_leaves_98_percent": rough["flood_target_share"] >= 0.98,
         "crowd_costs_others_1_percent": crowd["crowd_cost_to_others"] <= 0.01,
         "token_within_limit": token <= limits["token"],
         "tls_within_limit": tls <= limits["tls"],
--- a/benchmarks/levels.py
+++ b/benchmarks/levels.py
@@ -53,11 +53,11 @@
     world.run()
     earnings = world.clients.earnings
     names = [row.name for row in shape.tracks]
-    asked, in_goal = earnings.counts[names.index("booking")]
+    asked, in_target = earnings.counts[names.index("booking")]
     stewards = [steward for seat in world.seats for steward in getattr(seat, "stewards", [])]
     return {
         "score": earnings.score(),
-        "bookings_in_goal": in_goal / max(1, asked),
+        "bookings_in_target": in_target / max(1, asked),
         "changes": sum(len(steward.changes) for steward in stewards),
         "dispatchers": len(world.seats),
         "broken": len(world.truth.breaches),
@@ -126,14 +126,15 @@
     shape = sized(12, 3, 1, 120.0, load=1.0, seconds=30.0 if QUICK else 40.0)
     text = "(at 2s (slow origin 5x for 30s)) (at 4s (flush 0.6))"
     on, off = played(shape, text, seed, True), played(shape, text, seed, False)
-    return {"seed": seed, "on": round(on["bookings_in_goal"], 4), "off": round(off["bookings_in_goal"], 4),
+    shares = {"on": round(on["bookings_in_target"], 4), "off": round(off["bookings_in_target"], 4)}
+    return {"seed": seed, **shares,
             "score_on": round(on["score"], 4), "score_off": round(off["score"], 4),
             "broken": on["broken"] + off["broken"]}
 
 
 def bookings(pool: ProcessPoolExecutor) -> dict[str, Any]:
     rows = list(pool.map(_booking_day, range(1, 3) if QUICK else range(1, 7)))
-    return {"rows": rows, "least_in_goal": min(row["on"] for row in rows),
+    return {"rows": rows, "least_in_target": min(row["on"] for row in rows),
             "broken": sum(row["broken"] for row in rows)}
 
 
@@ -178,10 +179,10 @@
         with shared_core(place.process.pid, 0):
             before = cpu_s(place.process.pid)
             found = await load(place.address, (Step(seconds, rate, rate),), mixes("page=9 booking=1!"), 4,
-                               connections=8, goal_ms=300)
+                               connections=8, target_ms=300)
             cpu = cpu_s(place.process.pid) - before
     counts = found["counts"]
-    return {"rate": round(rate), "in_goal_a_second": round(counts.get("in goal", 0) / seconds, 1),
+    return {"rate": round(rate), "in_target_a_second": round(counts.get("in target", 0) / seconds, 1),
             "sent": counts["sent"], "never_answered": counts.get("never answered", 0), "cpu_s": round(cpu, 2),
             "void": found["void"]}
 
@@ -192,18 +193,18 @@
     with tempfile.TemporaryDirectory() as folder:
         off_file = Path(folder) / "off.sexp"
         off_file.write_text("(levels (admission (least 100000)))\n")  # a bound that is never cut
-        # What it carries: the most served in goal time over rising rates, the admission at work.
+        # What it carries: the most served within the latency target over rising rates, the admission at work.
         ramp = [await _served(rate, seconds, "", Path(folder) / f"ramp-{rate:.0f}")
                 for rate in ((1_500.0, 3_000.0) if QUICK else (1_000.0, 1_500.0, 2_000.0, 3_000.0, 4_000.0))]
-        first = max(ramp, key=lambda row: row["in_goal_a_second"])
-        carried = max(200.0, first["in_goal_a_second"])
+        first = max(ramp, key=lambda row: row["in_target_a_second"])
+        carried = max(200.0, first["in_target_a_second"])
         loads = (1.0, 2.0) if QUICK else LOADS
         rows: dict[str, list[dict[str, Any]]] = {"with": [], "without": []}
         for n, times in enumerate(loads):
             for way, operator in (("with", ""), ("without", str(off_file))):
                 where = Path(folder) / f"{way}-{n}"
                 rows[way].append(await _served(times * carried, seconds, operator, where) | {"load": times})
-    best = max(row["in_goal_a_second"] for row in rows["with"])
+    best = max(row["in_target_a_second"] for row in rows["with"])
     return {"carried": carried, "ramp": ramp, "rows": rows, "best": best, "seconds": seconds,
             "void": any(row["void"] for way in (*rows.values(), ramp) for row in way)}
 
@@ -218,14 +219,14 @@
     axes[0].plot(curve["loads"], curve["with"], "o-", label="with the admission")
     axes[0].plot(curve["loads"], curve["without"], "s--", label="without")
     axes[0].set(title="scripted core (emulated)", xlabel="offered over what the core carries",
-                ylabel="served in goal time, share")
+                ylabel="served within the latency target, share")
     for way, mark in (("with", "o-"), ("without", "s--")):
         rows = sockets["rows"][way]
-        shares = [row["in_goal_a_second"] / sockets["best"] for row in rows]
+        shares = [row["in_target_a_second"] / sockets["best"] for row in rows]
         told = "with the admission" if way == "with" else "bound never cut"
         axes[1].plot([row["load"] for row in rows], shares, mark, label=told)
     axes[1].set(title="a dispatcher on half a core (measured)", xlabel="offered over what it carries",
-                ylabel="served in goal time, share of its best")
+                ylabel="served within the latency target, share of its best")
     for axis in axes:
         axis.set_ylim(0, 1.1)
         axis.grid(alpha=0.3)
@@ -248,14 +249,14 @@
     if os.environ.get("PLOT"):
         plotted(out["emulated"], out["measured"], Path(os.environ["PLOT"]))
     sockets, curve = out["measured"], out["emulated"]
-    by_load = {row["load"]: row["in_goal_a_second"] for row in sockets["rows"]["with"]}
+    by_load = {row["load"]: row["in_target_a_second"] for row in sockets["rows"]["with"]}
     past = [by_load[times] for times in (1.5, 2.0) if times in by_load]
     claims = {
         "under_one_change_a_minute": out["swings"]["most_a_minute"] < 1.0,
         "no_worse_with_levels_on_every_kind": all(
             row["interval"][1] >= 0 for row in out["pairs"]["by_kind"].values()
         ),
-        "bookings_in_goal_099": out["bookings"]["least_in_goal"] >= 0.99,
+        "bookings_in_target_099": out["bookings"]["least_in_target"] >= 0.99,
         "rules_kept": out["swings"]["broken"] + out["pairs"]["broken"] + out["bookings"]["broken"] == 0,
         "emulated_flat_past_the_limit": all(x >= 0.9 * max(curve["with"]) for x in curve["with"][2:4]),
         # 0.9 was asked for and is not reached at twice the limit: docs/levels.md says why.
--- a/hoistplank/choice.py
+++ b/hoistplank/choice.py
@@ -38,7 +38,7 @@
     def __init__(self, tariff: Tariff) -> None:
         self.tariff = tariff
         self.wait_us, self.in_time, self.fills_out = 0.0, 1.0, 0
-        self.send_us = float(tariff.goal_us)  # till some are seen: goals lie above it
+        self.send_us = float(tariff.target_us)  # till some are seen: targets lie above it
 
     def saw(self, send_us: float) -> None:
         self.send_us += (send_us - self.send_us) * 0.02  # 1 in 50: sizes vary widely, their mean hardly moves
@@ -65,9 +65,9 @@
     def send_us(self) -> float:
         return self.known_us or self.track.send_us
 
-    def goal_us(self, send_us: float) -> float:
+    def target_us(self, send_us: float) -> float:
         tariff = self.track.tariff
-        return min(tariff.goal_us + tariff.goal_stretch * send_us, tariff.deadline_us)
+        return min(tariff.target_us + tariff.target_stretch * send_us, tariff.deadline_us)
 
 
 class Herd:
@@ -173,7 +173,7 @@
         self.zones[i], self.cells[i], self.started[i] = entry.zone, entry.cell, entry.started_us
         self.units[i], self.states[i] = entry.units, entry.state
         if self.site.links_told and entry.units > 0:
-            # Twice its link and two more: at twice its sending time a hit is still in time at most goals.
+            # Twice its link and two more: at twice its sending time a hit is still in time at most targets.
             self.most[i] = max(2.0, (2.0 + 2.0 * entry.units) / max(1, self.site.dispatchers_here))
         self.room[i] = min(self.room[i], self.most[i])
 
@@ -194,16 +194,17 @@
             visit.known_us = kb / self.site.stream_kb_s * 1e6
             row.saw(visit.known_us)
         until -= self.late_us  # Danger: a loop that lags sees a visit late, and carries out its answer late.
-        # The last moment for a shot that can still meet the goal time; an unknown size counts as small.
-        # Danger: a track whose mean fills its goal time would be turned back unseen, and never learn better.
-        likely = 0.0 if row.tariff.goal_stretch >= 1 or row.tariff.uncached else row.send_us
-        send = visit.known_us or min(likely, row.tariff.goal_us / 2)
-        goal = now + int(visit.goal_us(send)) - 2 * self.site.tick_us
+        # The last moment for a shot that can still meet the latency target; an unknown size counts as small.
+        # Danger: a track whose mean fills its latency target would be turned back unseen, and never learn
+        # better.
+        likely = 0.0 if row.tariff.target_stretch >= 1 or row.tariff.uncached else row.send_us
+        send = visit.known_us or min(likely, row.tariff.target_us / 2)
+        target = now + int(visit.target_us(send)) - 2 * self.site.tick_us
         # Danger: a full core makes all late. 250 are 50 ms of work; dear visits last. Harms lone bursts.
         full = self.waits * self.least_earns > 250 * row.tariff.earnings
         reduced = self.reduced  # a level that lets this track's new visits wait: turned back at once
         full = full or track in reduced.turn_back and (part == 0 or track in reduced.every_part)
-        visit.latest = now - 1 if full else min(goal, until - 100_000) - int(send)
+        visit.latest = now - 1 if full else min(target, until - 100_000) - int(send)
         self.ledger[id] = self.waiting[id] = visit
         self.stirred = True
 
@@ -222,7 +223,7 @@
             row, succeeded = visit.track, result == Result.SUCCEEDED
             blamed = visit.over or (result == Result.WITHDRAWN and now < self.silent_until[shot.source])
             if note != Note.HIT and not blamed and (succeeded or result in (Result.LATE, Result.WITHDRAWN)):
-                in_time = succeeded and took <= visit.goal_us(visit.send_us())
+                in_time = succeeded and took <= visit.target_us(visit.send_us())
                 # 1 in 12: about a second's fills of a busy track: a slow origin and its end both show soon.
                 row.wait_us += (max(0.0, took - visit.send_us()) - row.wait_us) * 0.08
                 row.in_time += (in_time - row.in_time) * 0.08
@@ -660,7 +661,7 @@
             overdue = quiet and out > 700_000 + 2 * send + self.late_us  # what lay unread is not the host's
             # A sure answer takes one sending time; at four, while others come, it is lost. Harms large ones.
             gone = shot.sure and not quiet and visit.shots < 2 and now < visit.latest and out > 4 * send + 5e4
-            if visit.over or overdue or gone or out > 1.5 * visit.goal_us(send):  # over: client has left
+            if visit.over or overdue or gone or out > 1.5 * visit.target_us(send):  # over: client has left
                 visit.failed_at += [host] * (not gone)
                 if quiet and not visit.over:
                     if not parent:  # a parent that is gone fails its caches' connections: a clearer sign
--- a/hoistplank/facts.py
+++ b/hoistplank/facts.py
@@ -125,8 +125,8 @@
     uncached, old = _row(facts, info + "uncached"), _row(facts, info + "worth_when_old")
     return Tariff(
         name=facts.text(at + "name"),
-        goal_us=facts.micros(at + "target"),
-        goal_stretch=facts.number(at + "aim_stretch", 0.0),
+        target_us=facts.micros(at + "target"),
+        target_stretch=facts.number(at + "aim_stretch", 0.0),
         deadline_us=facts.micros(at + "give_up"),
         earnings=facts.number(at + "gain", 1.0),
         late_share=facts.number(at + "late_value", 0.0),
--- a/hoistplank/interface.py
+++ b/hoistplank/interface.py
@@ -36,8 +36,8 @@
     """The figures of one track."""
 
     name: str
-    goal_us: int
-    goal_stretch: float
+    target_us: int
+    target_stretch: float
     deadline_us: int
     earnings: float
     late_share: float
--- a/hoistplank/lab/drives/virtual.py
+++ b/hoistplank/lab/drives/virtual.py
@@ -188,8 +188,8 @@
         visit = self.visits.get(id)
         if self.steward is not None and visit is not None:
             row = self.world.shape.tracks[visit.track]
-            goal = min(row.goal_us + row.goal_stretch * visit.size_us, row.deadline_us)
-            self.steward.watch.answered(now, row.name, how == SERVED and now - visit.asked_at <= goal)
+            target = min(row.target_us + row.target_stretch * visit.size_us, row.deadline_us)
+            self.steward.watch.answered(now, row.name, how == SERVED and now - visit.asked_at <= target)
         self.over.add(id)
         self.world.truth.answers.answered(now, id)
         if self.world.ways is None:
@@ -285,9 +285,9 @@
         filled = note in (Note.FILLED, Note.FROM_ORIGIN) and decision.source != decision.host
         if steward is not None and filled:
             row = self.world.shape.tracks[visit.track]
-            goal = min(row.goal_us + row.goal_stretch * visit.size_us, row.deadline_us)
+            target = min(row.target_us + row.target_stretch * visit.size_us, row.deadline_us)
             slowed = took / (visit.size_us + 100_000)
-            steward.watch.filled(now, decision.source, visit.thing, visit.group, took <= goal, slowed)
+            steward.watch.filled(now, decision.source, visit.thing, visit.group, took <= target, slowed)
         closed = id in self.over or id not in self.visits
         self.policy.shot_ended(now, id, shot.decision.shot, result, closed, took, -1, note, [])
         self._forget(id)
--- a/hoistplank/lab/load/engine.py
+++ b/hoistplank/lab/load/engine.py
@@ -47,7 +47,7 @@
     ca: str = ""
     certificate: str = ""
     seed: int = 1
-    goal_ms: int = 0  # an answer served within so long of its due time is counted "in goal"; 0: none is
+    target_ms: int = 0  # an answer served within so long of its due time is counted "in target"; 0: none is
 
 
 class Line(asyncio.Protocol):
@@ -173,8 +173,8 @@
         due, row, tenant = sent
         self.took[row].record_value(min(HIGHEST_US, max(1, int((now - due) * 1e6))))
         self.statuses[row][status] += 1
-        if status == 200 and now - due <= self.job.goal_ms / 1_000:
-            self.counts["in goal"] += 1
+        if status == 200 and now - due <= self.job.target_ms / 1_000:
+            self.counts["in target"] += 1
         self.tenants[tenant]["served" if status == 200 else "not served"] += 1
         self.counts["answered"] += 1
 
--- a/hoistplank/lab/model/clients.py
+++ b/hoistplank/lab/model/clients.py
@@ -104,7 +104,7 @@
         self.shape, self.start = shape, shape.start_us()
         self.asked, self.earned = [0.0] * many, [0.0] * many
         self.by_track: list[list[float]] = [[0.0, 0.0] for _ in shape.tracks]  # asked, earned
-        self.counts: list[list[int]] = [[0, 0] for _ in shape.tracks]  # asked, served in goal time
+        self.counts: list[list[int]] = [[0, 0] for _ in shape.tracks]  # asked, served in time
         self.lost: defaultdict[str, float] = defaultdict(float)  # earnings by cause
         self.times = [array("I") for _ in shape.tracks]
         self.ends: Counter[str] = Counter()
@@ -236,10 +236,10 @@
         if self.ear is not None:
             self.ear.answered(now, visit, how)
         if how == SERVED:
-            goal = min(row.goal_us + row.goal_stretch * visit.size_us, row.deadline_us)
-            share = 1.0 if took <= goal else row.late_share
+            target = min(row.target_us + row.target_stretch * visit.size_us, row.deadline_us)
+            share = 1.0 if took <= target else row.late_share
             share *= row.old_share if note == Note.OLD else 1.0
-            cause = "served old" if note == Note.OLD else "served" if took <= goal else "served late"
+            cause = "served old" if note == Note.OLD else "served" if took <= target else "served late"
             return self._end(visit, share, cause, took)
         may = row.semantics != "at_most_once" or how == BACK
         # Danger: a repeat of what may have run elsewhere is the client's own risk; written off is not
--- a/hoistplank/lab/model/core.py
+++ b/hoistplank/lab/model/core.py
@@ -1,9 +1,10 @@
 """A dispatcher's core as one queue of work in virtual time, for the admission's controller: what a visit
 costs to take in, to turn back and to serve, and how long it waits at a cache host meanwhile.
 
-The loop's lag is the work that stands before a timer in the queue; a visit is served in goal time where its
-answer was written within `goal_us` of its coming. Service times are drawn from the stream handed in, so that
-two controllers meet the same visits. Figures from this are emulated: the costs are told, not measured here.
+The loop's lag is the work that stands before a timer in the queue; a visit is served within the latency
+target where its answer was written within `target_us` of its coming. Service times are drawn from the stream
+handed in, so that two controllers meet the same visits. Figures from this are emulated: the costs are told,
+not measured here.
 """
 
 from __future__ import annotations
@@ -21,13 +22,14 @@
 @dataclass(frozen=True, slots=True)
 class Costs:
     """Of one visit, in microseconds of the core: taking it in, turning it back, serving it (besides taking
-    it in); its wait at a cache host; its goal time. `spread`: the spread of each cost, as a share of it."""
+    it in); its wait at a cache host; its latency target. `spread`: the spread of each cost, as a share of
+    it."""
 
     read_us: float = 60.0
     refuse_us: float = 30.0
     serve_us: float = 240.0
     host_us: int = 20_000
-    goal_us: int = 300_000
+    target_us: int = 300_000
     spread: float = 0.5
 
     def carried(self) -> float:
@@ -39,14 +41,14 @@
 class Tally:
     offered: int = 0
     served: int = 0
-    in_goal: int = 0
+    in_target: int = 0
     refused: int = 0
     last_refused_us: int = -1
     lags: list[int] = field(default_factory=list)
     limits: list[float] = field(default_factory=list)
 
     def goodput(self, seconds: float) -> float:
-        return self.in_goal / seconds
+        return self.in_target / seconds
 
     def lag_us(self, share: float) -> int:
         ranked = sorted(self.lags)
@@ -125,6 +127,6 @@
         elif kind == "answer":
             self.open -= 1
             self.tally.served += 1
-            self.tally.in_goal += self.now - came <= self.costs.goal_us
+            self.tally.in_target += self.now - came <= self.costs.target_us
         if self.work:
             self._at(self.now + int(self.work[0][2]), "done", self.work[0][1])
--- a/hoistplank/lab/model/shape.py
+++ b/hoistplank/lab/model/shape.py
@@ -22,8 +22,8 @@
     share: float  # of all first parts that are asked for
     kb: float
     earnings: float = 1.0
-    goal_us: int = 300_000
-    goal_stretch: float = 2.0
+    target_us: int = 300_000
+    target_stretch: float = 2.0
     deadline_us: int = 2_500_000
     late_share: float = 0.2
     semantics: str = "idempotent"
@@ -49,20 +49,20 @@
     share=0.18,
     kb=300.0,
     earnings=1.5,
-    goal_us=500_000,
+    target_us=500_000,
     deadline_us=4 * S,
     objects=100,
     zipf=1.2,
     parts=6,
 )
-TILE = Track(name="tile", share=0.17, kb=15.0, earnings=0.5, goal_us=250_000, objects=1_000, zipf=1.1)
+TILE = Track(name="tile", share=0.17, kb=15.0, earnings=0.5, target_us=250_000, objects=1_000, zipf=1.1)
 BOOKING = Track(
     name="booking",
     share=0.07,
     kb=2.0,
     earnings=4.0,
-    goal_us=600_000,
-    goal_stretch=0.0,
+    target_us=600_000,
+    target_stretch=0.0,
     deadline_us=3 * S,
     semantics="deduplicated",
     window_us=5 * S,
@@ -74,8 +74,8 @@
     share=0.03,
     kb=2.0,
     earnings=6.0,
-    goal_us=800_000,
-    goal_stretch=0.0,
+    target_us=800_000,
+    target_stretch=0.0,
     deadline_us=3 * S,
     semantics="at_most_once",
     uncached=True,
@@ -162,8 +162,8 @@
         classes = [
             {
                 "name": row.name,
-                "target": row.goal_us / S,
-                "aim_stretch": row.goal_stretch,
+                "target": row.target_us / S,
+                "aim_stretch": row.target_stretch,
                 "give_up": row.deadline_us / S,
                 "semantics": row.semantics,
                 "group": row.group,
--- a/hoistplank/levels/signals.py
+++ b/hoistplank/levels/signals.py
@@ -13,7 +13,8 @@
 
 S = 1_000_000
 # What each signal means, its unit, and the half-life of its smoothing (us). Names with a ':' are families:
-# `goal:booking` is the share of bookings in goal time, `fills:parent-0` that of fills through that parent.
+# `goal:booking` is the share of bookings within the latency target, `fills:parent-0` that of fills through
+# that parent.
 SIGNALS: dict[str, tuple[str, int]] = {
     "lag": ("how late the loop runs, in ms", S // 2),
     "open": ("visits open, as a share of what the admission lets in", S // 2),
@@ -21,10 +22,10 @@
     "memory": ("resident memory, as a share of the limit", 5 * S),
     "descriptors": ("descriptors in use, as a share of the limit", 2 * S),
     "link": ("the location's link as its cache hosts report it, 1 is full", 2 * S),
-    "goal": ("share of earnings of answered visits that came in goal time", 5 * S),
-    "goal:": ("share of the track's visits answered in goal time", 5 * S),
-    "fills": ("share of fills that came in goal time", 5 * S),
-    "fills:": ("share of fills through the parent that came in goal time", 5 * S),
+    "goal": ("share of earnings of answered visits that came within the latency target", 5 * S),
+    "goal:": ("share of the track's visits answered within the latency target", 5 * S),
+    "fills": ("share of fills that came within the latency target", 5 * S),
+    "fills:": ("share of fills through the parent that came within the latency target", 5 * S),
     "archive": ("how slow fills not caused by a purge are, against their own usual", 3 * S),
     "purge-fills": ("share of fills that a purge of the last 30 s caused", 3 * S),
 }
@@ -141,10 +142,10 @@
     def link(self, now: int, fullness: float) -> None:
         self.gauges.note(now, "link", fullness)
 
-    def answered(self, now: int, track: str, in_goal: bool) -> None:
-        """A visit that got its answer, served or not; `in_goal`: served within its goal time."""
-        self.gauges.note(now, f"goal:{track}", 1.0 if in_goal else 0.0)
-        self.gauges.note(now, "goal", 1.0 if in_goal else 0.0, self.earnings.get(track, 1.0))
+    def answered(self, now: int, track: str, in_target: bool) -> None:
+        """A visit that got its answer, served or not; `in_target`: served within its latency target."""
+        self.gauges.note(now, f"goal:{track}", 1.0 if in_target else 0.0)
+        self.gauges.note(now, "goal", 1.0 if in_target else 0.0, self.earnings.get(track, 1.0))
 
     def purged(self, now: int, thing: str, group: int) -> None:
         key: str | int = thing or group
@@ -155,8 +156,9 @@
             self.purges.popitem(last=False)
 
     def filled(self, now: int, parent: str, thing: str, group: int, in_time: bool, slowed: float) -> None:
-        """A fill through `parent` that ended: in its goal time or not, and its time over what its size and
-        way would take (`slowed`, 1 at full pace), with this loop's own lateness taken out by the caller."""
+        """A fill through `parent` that ended: in its latency target or not, and its time over what its size
+        and way would take (`slowed`, 1 at full pace), with this loop's own lateness taken out by the
+        caller."""
         fresh = now - WAVE_US
         purged = (self.purges.get(thing), self.purges.get(group))
         caused = any(at is not None and at >= fresh for at in purged)
--- a/hoistplank/program/berth.py
+++ b/hoistplank/program/berth.py
@@ -83,7 +83,7 @@
     if not made.tariffs:
         raise FactError("field 'classes' is absent or empty")
     for i, tariff in enumerate(made.tariffs):
-        for key, value in (("target", tariff.goal_us), ("give_up", tariff.deadline_us)):
+        for key, value in (("target", tariff.target_us), ("give_up", tariff.deadline_us)):
             if value <= 0:
                 raise FactError(f"field 'classes.{i}.{key}' is not above 0")
     rules = made.rules
--- a/hoistplank/routing/owner.py
+++ b/hoistplank/routing/owner.py
@@ -238,8 +238,8 @@
         """`served`: how long a served visit took from its taking (us); -1 where it was not served."""
         if self.watch is not None:
             track = self.tariffs[visit.track]
-            goal = min(track.deadline_us, track.goal_us + track.goal_stretch * visit.send_us)
-            self.watch.answered(self.clock.now(), visit.track, 0 <= served <= goal)
+            target = min(track.deadline_us, track.target_us + track.target_stretch * visit.send_us)
+            self.watch.answered(self.clock.now(), visit.track, 0 <= served <= target)
         visit.over = True
         visit.body = b""
         self.open -= 1
@@ -292,7 +292,7 @@
         visit = shot.visit
         if note in FILLED and shot.source and shot.source != shot.host:
             track = self.tariffs[visit.track]
-            in_time = took <= min(track.deadline_us, track.goal_us + track.goal_stretch * visit.send_us)
+            in_time = took <= min(track.deadline_us, track.target_us + track.target_stretch * visit.send_us)
             slowed = took / (visit.send_us + 100_000)  # a fill's way: 0.1 s, as the Router reckons it
             self.watch.filled(now, shot.source, visit.thing, visit.group, in_time, slowed)
         for name, figure in zip(self.report_names, report, strict=False):
@@ -399,5 +399,5 @@
 
 
 def _target_us(site: Site) -> int:
-    """The loop's lag that the admission aims below: 25 ms, or a tenth of the shortest goal time."""
-    return max(2_000, min(25_000, min(row.goal_us for row in site.tariffs) // 10))
+    """The loop's lag that the admission aims below: 25 ms, or a tenth of the shortest latency target."""
+    return max(2_000, min(25_000, min(row.target_us for row in site.tariffs) // 10))
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -49,7 +49,7 @@
     replace(
         VIDEO,
         name="page",
-        goal_us=300_000,
+        target_us=300_000,
         deadline_us=2_500_000,
         earnings=1.0,
         fresh_us=8_000_000,
@@ -59,7 +59,7 @@
     replace(
         VIDEO, name="mark", semantics="keyed", dedup_group="all", dedup_window_us=3_000_000, uncached=True
     ),
-    replace(VIDEO, name="flat", goal_us=300_000, goal_stretch=0.0),
+    replace(VIDEO, name="flat", target_us=300_000, target_stretch=0.0),
     replace(
         VIDEO, name="zoned", semantics="keyed", dedup_group="zone", dedup_window_us=3_000_000, uncached=True
     ),
--- a/tests/test_cold_fleet.py
+++ b/tests/test_cold_fleet.py
@@ -20,7 +20,7 @@
     RULES, cold_us=COLD, cold_from=LEAST, tip_us=WINDOW, tip_multiple=MULTIPLE,
     parent_cold_us=COLD, parent_cold_from=LEAST, parent_tip_multiple=MULTIPLE,
 )
-PAGE = replace(VIDEO, name="page", goal_us=300_000, deadline_us=2_500_000)
+PAGE = replace(VIDEO, name="page", target_us=300_000, deadline_us=2_500_000)
 
 
 def host(uid: str, kind: str, units: float, cold: bool) -> HostEntry:
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -521,7 +521,8 @@
             answers = [await asyncio.wait_for(dispatcher.client.answer(), 2)]
             if kind in SPOILT:
                 answers.append(await asyncio.wait_for(dispatcher.client.answer(), 2))
-                # A halt is known only after the goal time: what can't be in time any more is turned back.
+                # A halt is known only after the latency target: what can't be in time any more is turned
+                # back.
                 wanted = {200, 503} if kind == "half an answer" else {200}
                 assert {answer[1] for answer in answers} <= wanted
                 assert box.connections == 2 or kind == "half an answer"
