Words: utility for earnings

Need: the field's term. Change: fields, comments, pages, tests; no change of behaviour. Texts from before a renamed field can't be played by the laboratory on the present interface any more.

--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -292,7 +292,7 @@
                                         for ways in out["losses"].values() for told in ways.values())
     out |= {"claims": claims, "took_s": round(time.monotonic() - began, 1)}
     busy = f"{void} of {len(flat)} runs were late" if void > len(flat) / 4 else ""
-    # Bounds of earnings too: where starts take seconds on full cores, less is earned. Rules never are.
+    # Bounds of utility too: where starts take seconds on full cores, less is earned. Rules never are.
     return verdict(out, ("all_bounds_hold", "rig_late_20_ms_at_most", "relay_own_delay_2_ms_at_most"), busy)
 
 
--- a/benchmarks/levels.py
+++ b/benchmarks/levels.py
@@ -51,12 +51,12 @@
 def played(shape: Shape, text: str, seed: int, levels: bool) -> dict[str, Any]:
     world = built(shape, seed, policy("module"), script(text), the_plan(shape) if levels else None)
     world.run()
-    earnings = world.clients.earnings
+    utility = world.clients.utility
     names = [row.name for row in shape.tracks]
-    asked, in_target = earnings.counts[names.index("booking")]
+    asked, in_target = utility.counts[names.index("booking")]
     stewards = [steward for seat in world.seats for steward in getattr(seat, "stewards", [])]
     return {
-        "score": earnings.score(),
+        "score": utility.score(),
         "bookings_in_target": in_target / max(1, asked),
         "changes": sum(len(steward.changes) for steward in stewards),
         "dispatchers": len(world.seats),
--- a/deploy/lab/levels.sexp
+++ b/deploy/lab/levels.sexp
@@ -1,5 +1,5 @@
 ; Levels of reduced service as the laboratory's dispatchers run them in `make bench-levels` (docs/levels.md).
-; Turning videos back, or halving the fills, lost up to 0.13 of earnings on the laboratory's slow-archive
+; Turning videos back, or halving the fills, lost up to 0.13 of utility on the laboratory's slow-archive
 ; days; taking old copies first lost nothing. So the slow archive gets old copies, and only a full core
 ; turns the cheapest track back.
 (levels
--- a/hoistplank/choice.py
+++ b/hoistplank/choice.py
@@ -113,7 +113,7 @@
         self.ledger, self.waiting, self.shots = dict[str, Visit](), dict[str, Visit](), dict[Shot, None]()
         self.outbox, self.stirred, self.asking = deque[Decision](), False, False
         self.link_full, self.link_at, self.wake_at, self.token, self.fills_out = 1.5, -1_000_000, 0, 0, 0
-        self.waits, self.late_us, self.least_earns = 0, 0, min([row.earnings for row in site.tariffs] or [0])
+        self.waits, self.late_us, self.least_utility = 0, 0, min([row.utility for row in site.tariffs] or [0])
         # Half as many fills more than fill the link: 1.0 loses 0.05, 1.3 to 1.7 are alike. No link told: 16.
         self.fill_room, self.full_room, self.least_room = 16.0 / max(1, site.dispatchers_here), inf, 2.0
         if site.link_kb_s > 0 and site.stream_kb_s > 0:
@@ -201,7 +201,7 @@
         send = visit.known_us or min(likely, row.tariff.target_us / 2)
         target = now + int(visit.target_us(send)) - 2 * self.site.tick_us
         # Danger: a full core makes all late. 250 are 50 ms of work; dear visits last. Harms lone bursts.
-        full = self.waits * self.least_earns > 250 * row.tariff.earnings
+        full = self.waits * self.least_utility > 250 * row.tariff.utility
         reduced = self.reduced  # a level that lets this track's new visits wait: turned back at once
         full = full or track in reduced.turn_back and (part == 0 or track in reduced.every_part)
         visit.latest = now - 1 if full else min(target, until - 100_000) - int(send)
@@ -383,7 +383,7 @@
             self.silence_check = now + 50_000  # a silence shows after 0.7 s, so this is fine enough
             self._find_silent(now)
         if self.waiting:
-            # Most earnings for the time first; late tracks and repeats yield. Many are looked at less often.
+            # Most utility for the time first; late tracks and repeats yield. Many are looked at less often.
             pause = min(50_000, 10 * len(self.waiting) ** 2)
             due = [visit for visit in self.waiting.values() if visit.due <= now]
             for visit in sorted(due, key=self._weight):
@@ -398,8 +398,8 @@
 
     def _weight(self, visit: Visit) -> float:
         row = visit.track
-        earns = max(0.001, row.tariff.earnings) * (row.in_time + 0.02) * (0.2 if visit.again else 1.0)
-        return (visit.send_us() + row.wait_us) / earns
+        utility = max(0.001, row.tariff.utility) * (row.in_time + 0.02) * (0.2 if visit.again else 1.0)
+        return (visit.send_us() + row.wait_us) / utility
 
     def _close(self, visit: Visit) -> None:
         visit.over = True
--- a/hoistplank/facts.py
+++ b/hoistplank/facts.py
@@ -128,7 +128,7 @@
         target_us=facts.micros(at + "target"),
         target_stretch=facts.number(at + "aim_stretch", 0.0),
         deadline_us=facts.micros(at + "give_up"),
-        earnings=facts.number(at + "gain", 1.0),
+        utility=facts.number(at + "gain", 1.0),
         late_share=facts.number(at + "late_value", 0.0),
         semantics=SEMANTICS[semantics],
         dedup_group=facts.text(at + "group", ""),
--- a/hoistplank/interface.py
+++ b/hoistplank/interface.py
@@ -39,7 +39,7 @@
     target_us: int
     target_stretch: float
     deadline_us: int
-    earnings: float
+    utility: float
     late_share: float
     semantics: str
     dedup_group: str
--- a/hoistplank/lab/drives/sockets.py
+++ b/hoistplank/lab/drives/sockets.py
@@ -517,7 +517,7 @@
         late = self.late_us()
         if late > LATE_US:
             raise TooLate(late)
-        return self.world.clients.earnings.score()
+        return self.world.clients.utility.score()
 
     async def begin(self) -> None:
         """Ports first, then all processes at once."""
--- a/hoistplank/lab/drives/steward.py
+++ b/hoistplank/lab/drives/steward.py
@@ -49,16 +49,16 @@
 class Steward:
     """One dispatcher's levels and admission in virtual time; `changes` keeps every change of level."""
 
-    def __init__(self, plan: Plan, earnings: dict[str, float], now: int) -> None:
+    def __init__(self, plan: Plan, utility: dict[str, float], now: int) -> None:
         self.plan = plan
         self.gauges = Gauges(plan.ages)
-        self.watch = Watch(self.gauges, earnings)
+        self.watch = Watch(self.gauges, utility)
         self.ladder = Ladder(plan.levels, plan.calm_us) if plan.levels else None
         self.admission = Admission(plan.bounds, now) if plan.bounds is not None else None
-        dearest = max(earnings.values()) if earnings else 1.0
+        dearest = max(utility.values()) if utility else 1.0
         self.shares = {
             name: self.admission.share(value, dearest) if self.admission is not None else 1.0
-            for name, value in earnings.items()
+            for name, value in utility.items()
         }
         self.changes: list[Change] = []
         self.refused = 0
--- a/hoistplank/lab/drives/virtual.py
+++ b/hoistplank/lab/drives/virtual.py
@@ -76,8 +76,8 @@
         policy = self.make(self.world.shape.site(self.zone, self.number), seed, self.world)
         if self.plan is not None:
             # A restart forgets the level in force, as a dispatcher's process does.
-            earnings = {row.name: row.earnings for row in self.world.shape.tracks}
-            self.steward = Steward(self.plan, earnings, self.agenda.now)
+            utility = {row.name: row.utility for row in self.world.shape.tracks}
+            self.steward = Steward(self.plan, utility, self.agenda.now)
             self.stewards.append(self.steward)
             told = getattr(policy, "reduced_told", None)
             if told is not None:
@@ -306,17 +306,17 @@
 
 
 def digest(world: World) -> str:
-    """Of all that a day was: every second's earnings, every cause, every server's counts. One seed gives one
+    """Of all that a day was: every second's utility, every cause, every server's counts. One seed gives one
     digest.
     """
-    earnings = world.clients.earnings
+    utility = world.clients.utility
     rows = [
-        repr([round(value, 6) for value in earnings.asked]),
-        repr([round(value, 6) for value in earnings.earned]),
-        repr(sorted(earnings.ends.items())),
+        repr([round(value, 6) for value in utility.asked]),
+        repr([round(value, 6) for value in utility.earned]),
+        repr(sorted(utility.ends.items())),
         repr([(one.uid, one.asked, one.refused, one.fell) for one in world.servers.values()]),
         repr(sorted(world.truth.counts.items())),
-        repr([list(times) for times in earnings.times]),
+        repr([list(times) for times in utility.times]),
         repr(world.agenda.done),
     ]
     return hashlib.blake2b("\n".join(rows).encode(), digest_size=16).hexdigest()
--- a/hoistplank/lab/fleet/pages.py
+++ b/hoistplank/lab/fleet/pages.py
@@ -15,7 +15,7 @@
 from hoistplank.lab.model.shape import S
 from hoistplank.lab.report import STYLE, Rows, cells_of, svg
 
-SMOOTH = 5  # bins of earnings that a point of the plot stands for
+SMOOTH = 5  # bins of utility that a point of the plot stands for
 MOST_BESIDE = 4
 
 
@@ -61,7 +61,7 @@
 
 
 PLOTS = (
-    (_earned, "Earnings by location; faults shaded"),
+    (_earned, "Utility by location; faults shaded"),
     (_refused, "Tries turned back, by track"),
     (lambda axes, row: _held(axes, row, "link z", "of its room"), "What all held of each location's link"),
     (lambda axes, row: _held(axes, row, "link p", "of its room"), "What all held of each parent's link"),
--- a/hoistplank/lab/fleet/scene.py
+++ b/hoistplank/lab/fleet/scene.py
@@ -82,7 +82,7 @@
 DATAGRAMS = frozenset({"loss", "double", "jumble", "tardy", "flip"})
 MEASURES = {
     "earned": "share of what was asked for, of a location or of all",
-    "lost": "earnings lost to a cause, as a share of all asked for; the cause's words joined by '-'",
+    "lost": "utility lost to a cause, as a share of all asked for; the cause's words joined by '-'",
     "displaced": "share of the tries at another location's dispatchers that were served",
     "amplified": "shots for each first try",
     "asked-again": "tries for each visit that reached a dispatcher",
--- a/hoistplank/lab/fleet/tally.py
+++ b/hoistplank/lab/fleet/tally.py
@@ -1,4 +1,4 @@
-"""What all dispatchers did together, by the world's truth: earnings by location, what became of displaced
+"""What all dispatchers did together, by the world's truth: utility by location, what became of displaced
 visits, what is shared against its whole, fairness, shots for each first try, how long wrong choices lasted.
 
 It hears the world's events and samples; nothing here is a dispatcher's own word. No I/O, no clock; times
@@ -14,7 +14,7 @@
 from hoistplank.lab.model.clients import BACK, GONE, LEFT, OFF, SERVED, Visit
 from hoistplank.lab.model.shape import S, Shape
 
-BIN = 100_000  # of earnings and refusals over time
+BIN = 100_000  # of utility and refusals over time
 OUTCOMES = (SERVED, BACK, OFF, GONE, LEFT)
 ROW = 5  # shots by which a choice counts as right
 SENT_BEFORE_US = 2_000  # what was on its way when a fault began is no choice of after it
@@ -83,7 +83,7 @@
         self.earned_in = [[0.0] * bins for _ in range(shape.zones)]
         self.refused_in = [[0] * bins for _ in shape.tracks]
         self.lost = {zone: defaultdict[str, float](float) for zone in range(shape.zones)}
-        self.given_up = defaultdict[str, float](float)  # earnings turned back in the end, by track
+        self.given_up = defaultdict[str, float](float)  # utility turned back in the end, by track
         self.firsts = self.tries = self.shots = 0
         self.seen: set[int] = set()  # visits, by their numbers
         self.by_seat = [[0, 0] for _ in zones]  # tries, of these served
@@ -103,7 +103,7 @@
     def asked(self, now: int, zone: int, track: int) -> None:
         spot = self._bin(now)
         if spot is not None:
-            self.asked_in[zone][spot] += self.shape.tracks[track].earnings
+            self.asked_in[zone][spot] += self.shape.tracks[track].utility
 
     def tried(self, now: int, visit: Visit) -> None:
         zone = self.zones[visit.seat]
@@ -135,7 +135,7 @@
         spot = self._bin(due_at)
         if spot is None:
             return
-        worth = self.shape.tracks[track].earnings
+        worth = self.shape.tracks[track].utility
         self.earned_in[zone][spot] += worth * share
         if share < 1:
             self.lost[zone][cause] += worth * (1 - share)
--- a/hoistplank/lab/model/clients.py
+++ b/hoistplank/lab/model/clients.py
@@ -71,7 +71,7 @@
 
 
 class Ear(Protocol):
-    """Hears of every first part's time, every try and every end, beside what the earnings count."""
+    """Hears of every first part's time, every try and every end, beside what the utility counts."""
 
     def asked(self, now: int, zone: int, track: int) -> None: ...
 
@@ -94,7 +94,7 @@
         """The client has left."""
 
 
-class Earnings:
+class Utility:
     """By second of the day in which a visit was first asked for; what comes before the first is not
     counted.
     """
@@ -105,14 +105,14 @@
         self.asked, self.earned = [0.0] * many, [0.0] * many
         self.by_track: list[list[float]] = [[0.0, 0.0] for _ in shape.tracks]  # asked, earned
         self.counts: list[list[int]] = [[0, 0] for _ in shape.tracks]  # asked, served in time
-        self.lost: defaultdict[str, float] = defaultdict(float)  # earnings by cause
+        self.lost: defaultdict[str, float] = defaultdict(float)  # utility by cause
         self.times = [array("I") for _ in shape.tracks]
         self.ends: Counter[str] = Counter()
 
     def ask(self, now: int, track: int) -> None:
         if now < self.start:
             return
-        worth = self.shape.tracks[track].earnings
+        worth = self.shape.tracks[track].utility
         self.asked[min((now - self.start) // S, len(self.asked) - 1)] += worth
         self.by_track[track][0] += worth
         self.counts[track][0] += 1
@@ -120,7 +120,7 @@
     def end(self, due_at: int, track: int, share: float, cause: str, took: int = 0) -> None:
         if due_at < self.start:
             return
-        worth = self.shape.tracks[track].earnings
+        worth = self.shape.tracks[track].utility
         if share:
             self.earned[min((due_at - self.start) // S, len(self.earned) - 1)] += worth * share
             self.by_track[track][1] += worth * share
@@ -142,7 +142,7 @@
         self, agenda: Agenda, shape: Shape, streams: Streams, library: Library, front: Front
     ) -> None:
         self.agenda, self.shape, self.library, self.front = agenda, shape, library, front
-        self.earnings, self.open = Earnings(shape), dict[str, Visit]()
+        self.utility, self.open = Utility(shape), dict[str, Visit]()
         self.number, self.surge = 0, [1.0] * shape.zones
         self.ear: Ear | None = None
         self._arrivals = [streams.of(f"arrivals of z{n}") for n in range(shape.zones)]
@@ -181,7 +181,7 @@
 
     def _due(self, session: Session, size: float) -> None:
         """The time of a part has come: it is asked for once the one before has ended well."""
-        self.earnings.ask(self.agenda.now, session.track)
+        self.utility.ask(self.agenda.now, session.track)
         if self.ear is not None:
             self.ear.asked(self.agenda.now, session.zone, session.track)
         if session.left:
@@ -263,7 +263,7 @@
     def _end(self, visit: Visit, share: float, cause: str, took: int = 0) -> None:
         visit.done = True
         session = visit.session
-        self.earnings.end(visit.due_at, visit.track, share, cause, took)
+        self.utility.end(visit.due_at, visit.track, share, cause, took)
         if self.ear is not None:
             self.ear.ended(visit.due_at, visit.zone, visit.track, share, cause)
         session.out = None
@@ -276,6 +276,6 @@
 
     def _left(self, session: Session, due_at: int) -> None:
         """A part that is not asked for any more, since one before it was lost."""
-        self.earnings.end(due_at, session.track, 0.0, LEFT)
+        self.utility.end(due_at, session.track, 0.0, LEFT)
         if self.ear is not None:
             self.ear.ended(due_at, session.zone, session.track, 0.0, LEFT)
--- a/hoistplank/lab/model/shape.py
+++ b/hoistplank/lab/model/shape.py
@@ -21,7 +21,7 @@
     name: str
     share: float  # of all first parts that are asked for
     kb: float
-    earnings: float = 1.0
+    utility: float = 1.0
     target_us: int = 300_000
     target_stretch: float = 2.0
     deadline_us: int = 2_500_000
@@ -48,19 +48,19 @@
     name="video",
     share=0.18,
     kb=300.0,
-    earnings=1.5,
+    utility=1.5,
     target_us=500_000,
     deadline_us=4 * S,
     objects=100,
     zipf=1.2,
     parts=6,
 )
-TILE = Track(name="tile", share=0.17, kb=15.0, earnings=0.5, target_us=250_000, objects=1_000, zipf=1.1)
+TILE = Track(name="tile", share=0.17, kb=15.0, utility=0.5, target_us=250_000, objects=1_000, zipf=1.1)
 BOOKING = Track(
     name="booking",
     share=0.07,
     kb=2.0,
-    earnings=4.0,
+    utility=4.0,
     target_us=600_000,
     target_stretch=0.0,
     deadline_us=3 * S,
@@ -73,7 +73,7 @@
     name="payment",
     share=0.03,
     kb=2.0,
-    earnings=6.0,
+    utility=6.0,
     target_us=800_000,
     target_stretch=0.0,
     deadline_us=3 * S,
@@ -168,7 +168,7 @@
                 "semantics": row.semantics,
                 "group": row.group,
                 "dedup_window": row.window_us / S,
-                "gain": row.earnings,
+                "gain": row.utility,
                 "late_value": row.late_share,
             }
             for row in self.tracks
--- a/hoistplank/lab/report.py
+++ b/hoistplank/lab/report.py
@@ -74,8 +74,8 @@
 
 
 def scores(rows: Rows) -> str:
-    """Earnings by day, size and policy; where floor and top were played, the share of the way beside them."""
-    policies, out = _policies(rows), ["<table><caption>Share of all earnings, mean over seeds</caption>"]
+    """Utility by day, size and policy; where floor and top were played, the share of the way beside them."""
+    policies, out = _policies(rows), ["<table><caption>Share of all utility, mean over seeds</caption>"]
     ways = FLOOR in policies and TOP in policies and "module" in policies
     head = ["day", "cache hosts", *policies]
     out.append(cells_of([*head, f"module, of the way from {FLOOR} to {TOP}"] if ways else head, "th"))
@@ -125,7 +125,7 @@
     axes.axvline(0, color="#999", lw=0.8)
     axes.set_yticks(range(len(found)), [f"{policy}, {size}" for policy, size, _ in found], fontsize=8)
     axes.invert_yaxis()
-    axes.set_xlabel(f"share of all earnings, less that of {base}")
+    axes.set_xlabel(f"share of all utility, less that of {base}")
     words = f"Difference of each policy and size from {base}, with its 95 % interval"
     return "".join(out) + "</table>" + svg(figure, words)
 
@@ -144,7 +144,7 @@
     axes.set_xlabel("seconds of the day")
     axes.set_ylabel("earned of asked")
     axes.legend(fontsize=7, ncols=3, loc="lower right")
-    words = f"Earnings by second, day {day}, {size} cache hosts, seed {seed}; faults dotted"
+    words = f"Utility by second, day {day}, {size} cache hosts, seed {seed}; faults dotted"
     return svg(figure, words)
 
 
@@ -194,7 +194,7 @@
         for cause in {cause for row in mine for cause in row["lost"]}:
             causes[cause][policy] = sum(row["lost"].get(cause, 0.0) for row in mine) / asked
     out = ["<h2>What was lost, and to what</h2><table>"]
-    out.append("<caption>Share of all earnings asked for, all days</caption>")
+    out.append("<caption>Share of all utility asked for, all days</caption>")
     out.append(cells_of(["cause", *(html.escape(name) for name in policies)], "th"))
     for cause, by in sorted(causes.items(), key=lambda pair: -max(pair[1].values())):
         cells = "".join(f"<td>{by.get(name, 0.0):.4f}</td>" for name in policies)
@@ -231,7 +231,7 @@
     parts = [f"<h1>Experiment {html.escape(first['experiment'])}</h1>", told]
     shown_days = list(enumerate(days[:MOST_DAYS]))
     links = "".join(f'<a href="#d{n}">{html.escape(day)} {size}</a>' for n, (day, size) in shown_days)
-    parts += [f"<nav>{links}</nav>", "<h2>Earnings</h2>", scores(rows), _differences(rows, base)]
+    parts += [f"<nav>{links}</nav>", "<h2>Utility</h2>", scores(rows), _differences(rows, base)]
     parts += [_lost(rows), _rules(rows)]
     for n, (day, size) in shown_days:
         chosen = [row for row in rows if row["day"] == day and row["size"] == size]
--- a/hoistplank/lab/statistics.py
+++ b/hoistplank/lab/statistics.py
@@ -33,7 +33,7 @@
 def difference(
     first: Sequence[float], second: Sequence[float], least: float = 0.005, seed: int = 1
 ) -> Difference:
-    """`second` less `first`, pair by pair. `least` is what is worth telling: 0.005 of all earnings.
+    """`second` less `first`, pair by pair. `least` is what is worth telling: 0.005 of all utility.
 
     Raises ValueError where they can't be paired.
     """
--- a/hoistplank/lab/work.py
+++ b/hoistplank/lab/work.py
@@ -37,22 +37,22 @@
 
 def result(cell: Cell, world: World, took_s: float) -> dict[str, Any]:
     """All that reports need of a day; plain values only."""
-    earnings, shape = world.clients.earnings, world.shape
+    utility, shape = world.clients.utility, world.shape
     seconds = int(shape.seconds)
     start = shape.start_us() // S
     times = {}
-    for row, took in zip(shape.tracks, earnings.times, strict=True):
+    for row, took in zip(shape.tracks, utility.times, strict=True):
         counted, _ = np.histogram(np.asarray(took) / 1_000, [0, *BINS, 1e9])
         times[row.name] = [int(n) for n in counted]
     return {
         "key": cell.key(),
         "cell": msgspec.to_builtins(cell),
-        "score": earnings.score(),
-        "asked": [round(value, 4) for value in earnings.asked[:seconds]],
-        "earned": [round(value, 4) for value in earnings.earned[:seconds]],
-        "tracks": {row.name: values for row, values in zip(shape.tracks, earnings.by_track, strict=True)},
-        "lost": dict(earnings.lost),
-        "ends": dict(earnings.ends),
+        "score": utility.score(),
+        "asked": [round(value, 4) for value in utility.asked[:seconds]],
+        "earned": [round(value, 4) for value in utility.earned[:seconds]],
+        "tracks": {row.name: values for row, values in zip(shape.tracks, utility.by_track, strict=True)},
+        "lost": dict(utility.lost),
+        "ends": dict(utility.ends),
         "times": times,
         "hosts": [one.uid for one in world.watched],
         "loads": [[round(v, 3) for v in row] for row in world.loads[start : start + seconds]],
--- a/hoistplank/levels/admission.py
+++ b/hoistplank/levels/admission.py
@@ -10,7 +10,7 @@
 - else it stays. So it neither winds up while nobody presses against it nor jumps at one late turn: a
   stall of the loop (a reload, the collector) is one period's, a full core every period's.
 
-A track is let in while the visits open are below the bound times its share: the dearest track by earnings
+A track is let in while the visits open are below the bound times its share: the dearest track by utility
 gets the whole bound, the cheapest `least_share` of it, so that bookings are the last to be turned back.
 docs/levels.md has the reasons and the test against a scripted core.
 """
@@ -74,10 +74,10 @@
         self.period_end = max(self.period_end + bounds.period_us, now)
         self.lag_total = self.turns = self.peak_lag = self.peak_open = self.peak_waiting = 0
 
-    def share(self, earnings: float, dearest: float) -> float:
-        """Of the bound, for a track of `earnings` where the dearest track earns `dearest`."""
+    def share(self, utility: float, dearest: float) -> float:
+        """Of the bound, for a track of `utility` where the dearest track earns `dearest`."""
         least = self.bounds.least_share
-        return least + (1.0 - least) * (min(earnings, dearest) / dearest if dearest > 0 else 1.0)
+        return least + (1.0 - least) * (min(utility, dearest) / dearest if dearest > 0 else 1.0)
 
     def admits(self, open: int, share: float = 1.0) -> bool:
         return open < self.limit * share
--- a/hoistplank/levels/desk.py
+++ b/hoistplank/levels/desk.py
@@ -66,8 +66,8 @@
 
     def attach(self, host: Host) -> list[tuple[str, Coroutine[Any, Any, None]]]:
         self.owner, self.ledger = host.owner, host.ledger
-        earnings = {row.name: row.earnings for row in self.berth.site.tariffs}
-        self.owner.watch = Watch(self.gauges, earnings)
+        utility = {row.name: row.utility for row in self.berth.site.tariffs}
+        self.owner.watch = Watch(self.gauges, utility)
         self.owner.admission.bounds = forms.bounds(self.section, self.owner.admission.bounds.most)
         self.owner.tell(Told(self.base))
         setattr(host, "levels", self)  # noqa: B010 - the control front finds it there
--- a/hoistplank/levels/signals.py
+++ b/hoistplank/levels/signals.py
@@ -22,7 +22,7 @@
     "memory": ("resident memory, as a share of the limit", 5 * S),
     "descriptors": ("descriptors in use, as a share of the limit", 2 * S),
     "link": ("the location's link as its cache hosts report it, 1 is full", 2 * S),
-    "goal": ("share of earnings of answered visits that came within the latency target", 5 * S),
+    "goal": ("share of utility of answered visits that came within the latency target", 5 * S),
     "goal:": ("share of the track's visits answered within the latency target", 5 * S),
     "fills": ("share of fills that came within the latency target", 5 * S),
     "fills:": ("share of fills through the parent that came within the latency target", 5 * S),
@@ -122,8 +122,8 @@
     """Turns what a dispatcher sees into observations of the gauges. The same calls serve a dispatcher on
     sockets and one of the laboratory's in virtual time."""
 
-    def __init__(self, gauges: Gauges, earnings: dict[str, float]) -> None:
-        self.gauges, self.earnings = gauges, earnings
+    def __init__(self, gauges: Gauges, utility: dict[str, float]) -> None:
+        self.gauges, self.utility = gauges, utility
         self.usual = Mean(USUAL_HALF_LIFE, 0)
         self.purges: OrderedDict[str | int, int] = OrderedDict()
 
@@ -145,7 +145,7 @@
     def answered(self, now: int, track: str, in_target: bool) -> None:
         """A visit that got its answer, served or not; `in_target`: served within its latency target."""
         self.gauges.note(now, f"goal:{track}", 1.0 if in_target else 0.0)
-        self.gauges.note(now, "goal", 1.0 if in_target else 0.0, self.earnings.get(track, 1.0))
+        self.gauges.note(now, "goal", 1.0 if in_target else 0.0, self.utility.get(track, 1.0))
 
     def purged(self, now: int, thing: str, group: int) -> None:
         key: str | int = thing or group
--- a/hoistplank/routing/owner.py
+++ b/hoistplank/routing/owner.py
@@ -124,8 +124,8 @@
         # The bound on open visits that follows what the core carries; the settings' cap is its ceiling.
         bounds = Bounds(target_us=_target_us(site), least=min(8, self.open_cap), most=self.open_cap)
         self.admission = Admission(bounds, clock.now())
-        dearest = max(row.earnings for row in site.tariffs)
-        self.shares = {row.name: self.admission.share(row.earnings, dearest) for row in site.tariffs}
+        dearest = max(row.utility for row in site.tariffs)
+        self.shares = {row.name: self.admission.share(row.utility, dearest) for row in site.tariffs}
         self.tariffs = {row.name: row for row in site.tariffs}
         self.stream_kb_s = site.stream_kb_s
         self.watch: Watch | None = None  # where levels of reduced service are read: what it needs to see
@@ -203,7 +203,7 @@
             self._act[decision.act](now, decision)
 
     def _order(self, event: Event) -> float:
-        return -self.tariffs[event.visit.track].earnings if isinstance(event, Came) else -1e18
+        return -self.tariffs[event.visit.track].utility if isinstance(event, Came) else -1e18
 
     # What is told to the Router.
 
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -51,7 +51,7 @@
         name="page",
         target_us=300_000,
         deadline_us=2_500_000,
-        earnings=1.0,
+        utility=1.0,
         fresh_us=8_000_000,
         grace_us=10_000_000,
     ),
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -314,7 +314,7 @@
     "(scene a (at 1s (vanquish z0)))": ("s:1:17", "unknown fault", "'vanish'"),
     "(scene a (drives virtual) (at 1s (starve d0 0.5 for 2s)))": ("s:1:10", "'virtual'", "only they have it"),
     "(scene a (expect earned z0 over 0.5))": ("s:1:18", "earned z0 over", "above|below"),
-    "(scene a (expect earnings above 0.5))": ("s:1:18", "unknown measure", "'earned'"),
+    "(scene a (expect utility above 0.5))": ("s:1:18", "unknown measure", "'earned'"),
     "(scene a (expect earned above 0.5 from 2s to 20s))": ("s:1:10", "from 2s to 20s", "within the 8 s"),
     "(scene a (expect earned z7 above 0.5))": ("s:1:10", "earned z7", "a location of z0, z1, z2"),
     "(scene a (expect refused z1 below 0.5))": ("s:1:10", "refused z1", "no place"),
@@ -431,7 +431,7 @@
     assert call(main, ["lab", "report", str(out), str(out)]).exit_code == 0
     page = (out / "report.html").read_text()
     assert page.count("virtual, module, seed 1") >= 2 * 5 and page.count("<svg") == 5
-    assert "Earnings by location; faults shaded" in page and "gone z0 caches" in page
+    assert "Utility by location; faults shaded" in page and "gone z0 caches" in page
     nothing = call(main, ["lab", "fleet", str(SCENES / "starved.sexp"), "--drive", "virtual"])
     assert nothing.exit_code == 2 and "only processes have" in nothing.output
 
--- a/tests/test_lab_model.py
+++ b/tests/test_lab_model.py
@@ -62,7 +62,7 @@
 
 def test_every_policy_meets_the_same_clients() -> None:
     asked = {
-        name: played(name, "(at 1s (slow caches 9x for 3s))").clients.earnings.asked
+        name: played(name, "(at 1s (slow caches 9x for 3s))").clients.utility.asked
         for name in ("module", "random")
     }
     assert asked["module"] == asked["random"]
@@ -151,9 +151,9 @@
 def test_each_day_keeps_the_rules_and_accounts_for_every_visit(day: str) -> None:
     text = drawn(day, 2, 6.0)
     world = played("module", text, 2)
-    earnings = world.clients.earnings
+    utility = world.clients.utility
     assert not world.truth.breaches, f"{text}: {world.truth.breaches}"
-    assert sum(earnings.earned) + sum(earnings.lost.values()) == pytest.approx(sum(earnings.asked)), text
+    assert sum(utility.earned) + sum(utility.lost.values()) == pytest.approx(sum(utility.asked)), text
     assert not world.clients.open and (day == "calm") == (not world.happened)
 
 
@@ -233,7 +233,7 @@
 
 def test_a_herd_and_a_drain_on_one_tick() -> None:
     world = played("module", "(at 2s (herd page 0.9 objects 1 for 3s) (drain c0-0 for 3s))", 5)
-    assert not world.truth.breaches and world.clients.earnings.score() > 0.5
+    assert not world.truth.breaches and world.clients.utility.score() > 0.5
 
 
 def test_a_cold_host_that_falls_over_ends_every_ask_once() -> None:
@@ -279,9 +279,9 @@
         agenda.at(end - 1, clients.answered, visit.id, SERVED)
     agenda.run(end + S)
     assert visit.done and (visit in front.left) == late
-    earnings = clients.earnings
+    utility = clients.utility
     agenda.run(60 * S)
-    assert sum(earnings.earned) + sum(earnings.lost.values()) == pytest.approx(sum(earnings.asked))
+    assert sum(utility.earned) + sum(utility.lost.values()) == pytest.approx(sum(utility.asked))
 
 
 def test_two_dispatchers_meet_only_in_the_load_they_cause() -> None:
@@ -295,8 +295,8 @@
         seconds = world.agenda.now / S
         assert world.zone_links[0].carried / S <= shape.zone_link * seconds
     # The one that lives gets all clients, but keeps a half of the link for the other: it must lose by it.
-    assert one.clients.earnings.score() <= both.clients.earnings.score() + 0.02
-    assert one.clients.earnings.score() > 0.4
+    assert one.clients.utility.score() <= both.clients.utility.score() + 0.02
+    assert one.clients.utility.score() > 0.4
 
 
 @settings(deadline=None)
@@ -321,9 +321,9 @@
 
 
 def test_a_dispatcher_whose_core_is_full_serves_less() -> None:
-    free = played("module", "", 3, SMALL).clients.earnings.score()
+    free = played("module", "", 3, SMALL).clients.utility.score()
     full = played("module", "", 3, replace(SMALL, cpu_us=12_000))
-    assert full.clients.earnings.score() < free - 0.1 and not full.truth.breaches
+    assert full.clients.utility.score() < free - 0.1 and not full.truth.breaches
 
 
 def test_a_copy_near_its_end_is_renewed_behind_its_answer() -> None:
--- a/tests/test_settings_apart.py
+++ b/tests/test_settings_apart.py
@@ -25,7 +25,7 @@
     tariffs=(
         replace(VIDEO, name="page", target_us=900_000, deadline_us=1_200_000, semantics="non-idempotent",
                 uncached=True),
-        replace(VIDEO, name="reel", target_us=200_000, deadline_us=9_000_000, earnings=7.0,
+        replace(VIDEO, name="reel", target_us=200_000, deadline_us=9_000_000, utility=7.0,
                 fresh_us=2_000_000),
     ),
     zone="z2", joins=False, links_told=False, link_kb_s=0.0, notes_all=False,
