--- a/hoistplank/routing/listing.py
+++ b/hoistplank/routing/listing.py
@@ -5,11 +5,14 @@
 import asyncio
 import contextlib
 import socket
+from collections import OrderedDict
 from random import Random
 from typing import Protocol
 
+import msgspec
+
 from hoistplank.protocol import changelog
-from hoistplank.protocol.changelog import Event, Known
+from hoistplank.protocol.changelog import Event, Known, Target
 from hoistplank.protocol.errors import BadBytes
 from hoistplank.routing.clock import Clock
 from hoistplank.routing.complaints import Complaints
@@ -20,6 +23,7 @@
 
 SILENT_S = 2.2  # a number comes each second: two missed and some
 LOOK_S = 0.2
+MOST_LEAVING = 4_096  # hosts of which it is remembered that they left
 CONNECT_S = 1.0
 FIRST_PAUSE_S, LONGEST_PAUSE_S = 0.05, 1.0  # what it tells counts as told 7 s later, so it is tried often
 
@@ -48,14 +52,36 @@
         self.owner, self.address, self.chance = owner, address, chance.random
         self.last, self.listed, self.fresh = 0, False, False
         self.behind = False  # whether the log tells a number below ours
+        self.anew = False  # whether it counts from 1 again since we began
+        # Who was told to drain or to be gone, and when that process started.
+        self.leaving = OrderedDict[str, float]()
         self.moves = 0  # events and numbers that came in their order
         self._moved, self.complaints, self.clock = asyncio.Event(), Complaints(), LogClock()
         for event in known.results:
             self._apply(event)
         self.last = max(self.last, known.seq)
 
+    def _kept(self, target: Target) -> Target:
+        """What an entry says, beside what we heard of its host.
+
+        Danger: a log that counts anew, or only lags, has a list from before a drain that we heard, and the
+        host would get new work; only an event in its order takes a drain back.
+        """
+        if target.state != "ready":
+            self.leaving[target.uid] = target.boot_ms
+            while len(self.leaving) > MOST_LEAVING:
+                self.leaving.popitem(last=False)
+        elif self.leaving.get(target.uid) == target.boot_ms and self.anew:
+            return msgspec.structs.replace(target, state="draining")
+        else:
+            self.leaving.pop(target.uid, None)
+        return target
+
     def _apply(self, event: Event) -> None:
         self.last = event.seq
+        if event.fleet is not None:
+            targets = [self._kept(target) for target in event.fleet.targets]
+            event = msgspec.structs.replace(event, fleet=msgspec.structs.replace(event.fleet, targets=targets))
         if self.watch is not None:
             event = self.watch.heard(event)
         if event.fleet is not None:
@@ -117,7 +143,7 @@
                 # Danger: a log that began anew counts from 1, and none of its events would ever be above
                 # ours. One that is late catches up sooner than a connection counts as dead. All is asked for
                 # again: the first event holds the whole list.
-                self.last, self.behind = 0, False
+                self.last, self.behind, self.anew = 0, False, True
             if self.fresh:
                 pause = FIRST_PAUSE_S
             self.complaints.tell("change log lost", wrong=str(wrong) or type(wrong).__name__, last=self.last)
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -19,7 +19,7 @@
 
 from hoistplank.program.service import Phase
 from hoistplank.protocol import fastcgi
-from hoistplank.protocol.changelog import Known
+from hoistplank.protocol.changelog import Event, Fleet, Known
 from hoistplank.routing import listing as watching
 from hoistplank.routing.clock import Clock
 from hoistplank.routing.listing import Listing
@@ -557,6 +557,35 @@
     run(scene())
 
 
+def test_a_log_that_counts_anew_takes_no_drain_back(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def scene() -> None:
+        monkeypatch.setattr(watching, "SILENT_S", 0.2)
+        monkeypatch.setattr(watching, "LOOK_S", 0.02)
+        asked = list[int]()
+
+        async def talk(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            asked.append(int((await reader.readline()).split()[1]))
+            writer.write(b"1\n" if asked[-1] else row(1, whole=True) + b"1\n")  # from before the drain
+            await reader.read()
+
+        told = Told()
+        lines = [row(1, whole=True), row(2, state="draining")]
+        known = msgspec.json.decode(b'{"seq":2,"results":[' + b",".join(lines) + b"]}", type=Known)
+        log = Listing(told, ("127.0.0.1", await serve(talk)), known, Random(1))
+        task = asyncio.create_task(log.run())
+        await until(lambda: log.last == 1)
+        assert asked == [2, 0] and told.events[-1].targets[0].state == "draining"
+        log._apply(msgspec.json.decode(row(2), type=Event))  # the same process: only a new one is ready again
+        assert told.events[-1].targets[0].state == "draining"
+        new = msgspec.structs.replace(told.events[-1].targets[0], state="ready", boot_ms=5.0)
+        log._apply(Event(3, Fleet(3, False, [new])))
+        assert told.events[-1].targets[0].state == "ready"
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+
+    run(scene())
+
+
 def test_a_standstill_of_our_own_is_not_taken_for_the_logs_silence(monkeypatch: pytest.MonkeyPatch) -> None:
     async def scene() -> None:
         monkeypatch.setattr(watching, "SILENT_S", 0.2)
