--- a/hoistplank/routing/listing.py
+++ b/hoistplank/routing/listing.py
@@ -80,8 +80,8 @@
     def _apply(self, event: Event) -> None:
         self.last = event.seq
         if event.fleet is not None:
-            targets = [self._kept(target) for target in event.fleet.targets]
-            event = msgspec.structs.replace(event, fleet=msgspec.structs.replace(event.fleet, targets=targets))
+            rows = [self._kept(target) for target in event.fleet.targets]
+            event = msgspec.structs.replace(event, fleet=msgspec.structs.replace(event.fleet, targets=rows))
         if self.watch is not None:
             event = self.watch.heard(event)
         if event.fleet is not None:
