A line of the change log that breaks off is asked for again within half a second

Cause: Listing._follow waits for 2.2 s without a number, also where half a line stands in the buffer; what the log holds counts as told meanwhile.

--- a/hoistplank/routing/listing.py
+++ b/hoistplank/routing/listing.py
@@ -22,7 +22,8 @@
 from hoistplank.transport.connection import Connection
 
 SILENT_S = 2.2  # a number comes each second: two missed and some
-LOOK_S = 0.2
+HALTED_S = 0.3  # a line is written in one go: one that has begun and moves no more has broken off
+LOOK_S = 0.1
 MOST_LEAVING = 4_096  # hosts of which it is remembered that they left
 CONNECT_S = 1.0
 # Between tries to connect. What the log holds while nobody is connected counts as told at once: the longest
@@ -184,20 +185,25 @@
         connection.send(changelog.since(self.last))
         task = loop.create_task(connection.run())
         try:
-            silent_s, moves = 0.0, self.moves
+            silent_s, moves, halted_s, heard_at = 0.0, self.moves, 0.0, 0.0
             while not task.done():
                 looked = loop.time()
                 await asyncio.wait((task,), timeout=LOOK_S)
                 # Danger: after a standstill of our own, what came meanwhile is still unread, and looks
                 # silent: a look counts for its own time and no more.
-                silent_s += min(loop.time() - looked, LOOK_S)
+                looked = min(loop.time() - looked, LOOK_S)
+                silent_s, halted_s = silent_s + looked, halted_s + looked
                 if self.moves != moves:
                     silent_s, moves = 0.0, self.moves
-                if silent_s > SILENT_S:
+                if connection.heard_at != heard_at or connection.start == connection.end:
+                    halted_s, heard_at = 0.0, connection.heard_at
+                if silent_s > SILENT_S or halted_s > HALTED_S:
                     # A machine that is cut off closes nothing: only the seconds that stay away show it.
+                    # Danger: half an event may be a drain, and the rest of it never comes here; whoever asks
+                    # anew is told at once.
                     connection.close()
                     await asyncio.wait((task,))
-                    return "its seconds stay away"
+                    return "its seconds stay away" if silent_s > SILENT_S else "a line of it broke off"
         finally:
             connection.close()
         return task.result() or "closed by the other side"
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -613,6 +613,34 @@
     run(scene())
 
 
+def test_a_line_of_the_log_that_breaks_off_is_asked_for_again_at_once() -> None:
+    """Half an event may be a drain: it counts as told, and the seconds that stay away show it far too
+    late."""
+
+    async def scene() -> None:
+        asked, broke = list[int](), list[float]()
+        loop = asyncio.get_running_loop()
+
+        async def talk(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            asked.append(int((await reader.readline()).split()[1]))
+            line = row(2, state="draining")
+            writer.write(line[: len(line) // 2] if len(asked) == 1 else line)
+            broke.append(loop.time())
+            await reader.read()
+
+        told = Told()
+        known = msgspec.json.decode(b'{"seq":1,"results":[' + row(1, whole=True) + b"]}", type=Known)
+        log = Listing(told, ("127.0.0.1", await serve(talk)), known, Random(1))
+        task = asyncio.create_task(log.run())
+        await until(lambda: log.last == 2)
+        assert asked == [1, 1] and loop.time() - broke[0] < 1.0
+        assert told.events[-1].targets[0].state == "draining"
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+
+    run(scene())
+
+
 @pytest.mark.parametrize("number", [b"2\n", b'{"seq":2}\n'])
 def test_a_number_ahead_of_its_event_asks_for_the_event(number: bytes) -> None:
     """An event was lost on its way: the number shows it, and it must not count as heard."""
