What is written is known in the turn in which its last byte goes out

Where the other side reset the connection in the turn in which the last byte went out, Connection.run cancelled that task before it had told so, and a message that lay whole at the host counted as 'unwritten': it never ran, so a non-idempotent request could be sent twice. Change: the rest goes out from the writer's own callback, which tells in the same turn; the task is gone, and with it the last use of sock_sendall (given up in the open: it can't say how far it came; the measured cost is the standing reader's, 16 us against 29). An event of the log that comes twice no longer counts as a log that began anew; the drain's loop reads as it is.

--- a/hoistplank/program/service.py
+++ b/hoistplank/program/service.py
@@ -186,8 +186,9 @@
         self.enter(Phase.DRAINING)
         self.owner.tell(Closing(self.owner.clock.now() + int(self.last_answer_s * 1e6)))
         closed = left = False
-        while self.loop.time() < began + self.end_s and not (left and self._is_empty() and not
-        self.front.sessions):
+        while self.loop.time() < began + self.end_s:
+            if left and self._is_empty() and not self.front.sessions:
+                return
             await asyncio.sleep(0.02)
             spent = self.loop.time() - began
             if not closed and spent > self.last_answer_s:
--- a/hoistplank/routing/listing.py
+++ b/hoistplank/routing/listing.py
@@ -106,7 +106,7 @@
         """
         number = told if isinstance(told, int) else told.seq
         if number < self.last or (number == self.last and not isinstance(told, int)):
-            self.behind = number < self.last
+            self.behind = self.behind or isinstance(told, int)  # an event that comes twice says nothing
             return
         if isinstance(told, int):
             if told > self.last:
--- a/hoistplank/transport/connection.py
+++ b/hoistplank/transport/connection.py
@@ -46,15 +46,17 @@
 
     `consume` gets the buffer after each read and returns how far it has been used; what it raises ends this
     connection and no other. What is sent within one turn of the loop goes out in one call. A message is never
-    cut by a later one: one that the system takes in part a task finishes, and all else waits for it, and is
-    asked whether it may begin when its turn has come.
+    cut by a later one: one that the system takes in part is finished as it takes more, and all else waits for
+    it, and is asked whether it may begin when its turn has come.
 
     It ends in one place: `finish` writes what waits, shuts the write side, reads out what was still coming
     and closes (a lingering close); `close` is for what is beyond that, and what a broken or ended peer
     leaves.
 
     sock_recv_into and sock_sendall cost 29 us a pair on loopback, a standing reader with recv_into and send
-    16 us; so sock_sendall only finishes what a first send leaves.
+    16 us. sock_sendall does not finish what a first send leaves either: where the other side resets the
+    connection in the turn in which the last byte went out, it can't be told whether a message is whole at
+    the system, and on that hangs whether it may be sent again.
     """
 
     def __init__(self, sock: socket.socket, consume: Consume, most_in: int, most_out: int) -> None:
@@ -67,7 +69,7 @@
         self.halved = False  # once it has ended: whether that was inside a message of the other side
         self.writing_since = 0.0  # when the write that the system did not take at once began; 0 without one
         self._over: asyncio.Future[BaseException | None] = self.loop.create_future()
-        self._rest: asyncio.Task[None] | None = None
+        self._rest: tuple[memoryview, list[Outgoing]] | None = None  # of what is cut, and whose it is
         self._linger: asyncio.TimerHandle | None = None
         self._flushing, self._reading, self._resting, self._blocked = False, False, False, False
         self.emptied: Callable[[], None] | None = None  # told each time all that waited has been written
@@ -82,7 +84,7 @@
             return
         self.out.append(Outgoing(data, begin, written, untaken))
         self.out_bytes += len(data)
-        if not (self._flushing or self._blocked) and self._rest is None:
+        if not (self._flushing or self._blocked):
             self._flushing = True
             self.loop.call_soon(self._flush)
 
@@ -195,10 +197,8 @@
             return await self._over
         finally:
             self._end(None)
-            if self._rest is not None:
-                self._rest.cancel()
-                await asyncio.gather(self._rest, return_exceptions=True)
             self.sock.close()
+            self._rest = None
             self.out.clear()
             self.out_bytes = 0
             # Danger: rings of objects wait for the collector, and on a long day of new connections memory
@@ -269,7 +269,7 @@
     def _flush(self) -> None:
         """Writes all that waits in one call; with a message a call, calls are a sixth of all time."""
         self._flushing = False
-        if self._blocked or self._rest is not None:
+        if self._blocked:
             return  # Danger: written now, it would cut the message that is half with the system
         if self.out and not self.closing:
             # What does not begin is left out here, and what begins is with the system at once or asked again:
@@ -294,8 +294,8 @@
         self._emptied()
 
     def _held_up(self, batch: list[Outgoing], data: bytes, sent: int, plain: bool) -> None:
-        """The system took a part of a batch: what it has whole is written, what it has begun one task
-        finishes.
+        """The system took a part of a batch: what it has whole is written, what it has begun is finished
+        first.
 
         Danger: a message of which it has no byte, kept to be handed over later, would begin then without
         being asked again, at a host that drains by now or for a client that has gone. Sealed bytes can't be
@@ -318,24 +318,29 @@
             return
         if begun:
             stop = edge + len(begun[0].data) if plain else len(data)
-            self._rest = self.loop.create_task(self._finish_write(memoryview(data)[sent:stop], begun))
-        elif not self._blocked:
-            self._blocked = True
-            self.loop.add_writer(self.sock, self._writable)
+            self._rest = memoryview(data)[sent:stop], begun
+        self._blocked = True
+        self.loop.add_writer(self.sock, self._writable)
 
     def _writable(self) -> None:
-        self.loop.remove_writer(self.sock)
-        self._blocked = False
-        self._flush()
-
-    async def _finish_write(self, rest: memoryview, batch: list[Outgoing]) -> None:
-        try:
-            await self.loop.sock_sendall(self.sock, rest)
-        except OSError as wrong:
-            return self._end(wrong)
-        self.writing_since, self._rest = 0.0, None
-        self._written(batch)
-        self._flush()
+        """The system takes more: the rest of what is cut goes before all else."""
+        if self._rest is not None:
+            rest, batch = self._rest
+            try:
+                sent = self.sock.send(rest)
+            except (BlockingIOError, InterruptedError):
+                return
+            except OSError as wrong:
+                return self._end(wrong)
+            if sent < len(rest):
+                self._rest = rest[sent:], batch
+                return
+            self.writing_since, self._rest = 0.0, None
+            self._written(batch)
+        if not self.closing:
+            self.loop.remove_writer(self.sock)
+            self._blocked = False
+            self._flush()
 
     def _written(self, batch: list[Outgoing]) -> None:
         self.out_bytes -= sum([len(item.data) for item in batch])
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import json
 import os
 import re
@@ -160,6 +161,26 @@
     run(scene())
 
 
+def test_a_message_is_told_as_written_in_the_turn_in_which_its_last_byte_goes_out() -> None:
+    """A reset that is read next must not make it one that never ran."""
+
+    async def scene() -> None:
+        peer, told = Peer(room=8_192), list[str]()
+        made, task = peer.serve(taken([]))
+        await asyncio.sleep(0)
+        made.send(bytes(4 << 20), written=lambda: told.append("whole"))
+        await until(lambda: made._rest is not None)
+        while made._rest is not None:
+            with contextlib.suppress(BlockingIOError):
+                peer.sock.recv(1 << 20)
+            made._writable()
+        peer.reset()  # before the loop has had another turn
+        assert told == ["whole"]
+        await task
+
+    run(scene())
+
+
 # One lingering close for every reason.
 
 
@@ -863,10 +884,7 @@
                     made.sock = Small(real)  # type: ignore[assignment]
                     plain_flush(made)
                     made.sock = real
-                    if made._rest is not None:
-                        made._rest.cancel()
-                    if made._blocked:
-                        made.loop.remove_writer(real)
+                    made.loop.remove_writer(real)
                 else:
                     plain_flush(made)
 
