--- a/hoistplank/routing/listing.py
+++ b/hoistplank/routing/listing.py
@@ -70,7 +70,7 @@
         """What an entry says, beside what we heard of its host.
 
         Danger: a log that counts anew, or only lags, has a list from before a drain that we heard, and the
-        host would get new work; only an event in its order takes a drain back.
+        host would get new work. Once a log counted anew, only another start of the process takes it back.
         """
         if target.state != "ready":
             self.leaving[target.uid] = target.boot_ms
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -377,16 +377,21 @@
 # A client that has gone.
 
 
+async def narrow(dispatcher: Running) -> socket.socket:
+    """A client's connection that takes little of what it is owed until somebody reads."""
+    sock = socket.socket()
+    sock.setblocking(False)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 8_192)
+    await asyncio.get_running_loop().sock_connect(sock, dispatcher.service.listener.sock.getsockname())
+    return sock
+
+
 def test_the_end_of_a_client_is_seen_while_it_does_not_read_what_it_is_owed(tmp_path: Path) -> None:
     async def scene() -> None:
         box = CacheHost(lambda id, fields, body: silent(id, fields, body) if fields["blk"] == "9" else
                         served(id, fields, body))
         async with Calm(tmp_path, {"a": box, "o": CacheHost(silent)}) as dispatcher:
-            loop = asyncio.get_running_loop()
-            sock = socket.socket()
-            sock.setblocking(False)
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 8_192)
-            await loop.sock_connect(sock, dispatcher.service.listener.sock.getsockname())
+            loop, sock = asyncio.get_running_loop(), await narrow(dispatcher)
             late = {"HTTP_X_CHUNK": "9", "HTTP_X_DEADLINE_MS": "2400"}
             await loop.sock_sendall(sock, request(32, fields=late))
             await until(lambda: len(box.seen) == 1)
@@ -394,10 +399,10 @@
                 await loop.sock_sendall(sock, request(number, fields={"HTTP_X_CHUNK": "1"}))
             session = next(each for each in dispatcher.service.front.sessions if each.open)
             await until(lambda: session.connection.out_bytes > 2 << 20)
-            await loop.sock_sendall(sock, fastcgi.record(fastcgi.ABORT, 32))
             # What comes once too much waits is read, and so is what comes after it.
             await loop.sock_sendall(sock, request(31, fields={"HTTP_X_CHUNK": "1"}))
             await until(lambda: 31 in session.open)
+            await loop.sock_sendall(sock, fastcgi.record(fastcgi.ABORT, 32))
             began = loop.time()
             await until(lambda: f"{32:016x}" in box.drops)
             assert loop.time() - began < 1  # and not when its time is over
@@ -410,11 +415,7 @@
     async def scene() -> None:
         box = CacheHost(served)
         async with Calm(tmp_path, {"a": box, "o": CacheHost(silent)}) as dispatcher:
-            loop = asyncio.get_running_loop()
-            sock = socket.socket()
-            sock.setblocking(False)
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 8_192)
-            await loop.sock_connect(sock, dispatcher.service.listener.sock.getsockname())
+            loop, sock = asyncio.get_running_loop(), await narrow(dispatcher)
             for number in range(1, 31):
                 await loop.sock_sendall(sock, request(number, fields={"HTTP_X_CHUNK": str(number)}))
             session = await only(dispatcher)
