--- /dev/null
+++ b/hoistplank/lab/scale/hollow.py
@@ -0,0 +1,171 @@
+"""Hollow dispatchers: all that control does at a dispatcher, and no requests.
+
+Each has the program's own `Owner` task with its `Router`, and follows its source by the program's own
+`Listing` and parser; what a hollow one lacks is the listener, the pool and their sweep. Without requests a
+real dispatcher has no connection to a cache host either: the pool opens them on demand, and the `Router`
+asks for no probe. That the rest costs the same is measured by `hollow_pairing`.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+from random import Random
+from typing import Protocol
+
+from hoistplank.interface import Site
+from hoistplank.protocol.changelog import Event as LogEvent
+from hoistplank.protocol.changelog import Known
+from hoistplank.routing.clock import Clock
+from hoistplank.routing.listing import Listing
+from hoistplank.routing.owner import Event, Owner
+
+OPEN_CAP = 100
+
+
+@dataclass(frozen=True, slots=True, order=True)
+class Position:
+    """How far a follower has come: the epoch of its source, and the number of the last event within it."""
+
+    epoch: int
+    number: int
+
+
+class Hearer(Protocol):
+    """Who is told what the source says, as `routing.listing.Hearer`."""
+
+    clock: Clock
+
+    def tell(self, event: Event) -> None: ...
+
+
+class Follower(Protocol):
+    """Follows a source of control events for one dispatcher, until it is cancelled."""
+
+    def position(self) -> Position:
+        """Up to where all that the source told has been handed to the hearer."""
+
+    def reconnects(self) -> int:
+        """Connections to the source that were lost."""
+
+    async def run(self) -> None: ...
+
+
+@dataclass(frozen=True, slots=True)
+class Source:
+    """Where a dispatcher follows, and what it is started with. `epoch`: the source's at the start."""
+
+    address: tuple[str, int]
+    known: Known
+    epoch: int
+    chance: Random
+    grace_s: float
+
+
+FollowerFactory = Callable[[Hearer, Source], Follower]
+
+
+class LogFollower:
+    """Follows the change log by the program's own `Listing`."""
+
+    def __init__(self, hearer: Hearer, source: Source) -> None:
+        self._epoch, self._heard = source.epoch, source.known.seq
+        self.listing = Listing(hearer, source.address, source.known, source.chance, source.grace_s)
+        self.listing.watch = self
+
+    def heard(self, event: LogEvent) -> LogEvent:
+        """Told each event before the owner: the listing lets a number come again only from a log that
+        counts anew."""
+        if event.seq <= self._heard:
+            self._epoch += 1
+        self._heard = event.seq
+        return event
+
+    def alive(self) -> None:
+        """The log told its number: nothing is newer."""
+
+    def position(self) -> Position:
+        return Position(self._epoch, self._heard)
+
+    def reconnects(self) -> int:
+        return self.listing.complaints.counts.get("change log lost", 0)
+
+    async def run(self) -> None:
+        await self.listing.run()
+
+
+FOLLOWERS: dict[str, FollowerFactory] = {"log": LogFollower}
+
+
+class ReportingOwner(Owner):
+    """The program's owner; `applied` is called after each turn, with all that was told carried out."""
+
+    def __init__(self, site: Site, seed: int, clock: Clock, applied: Callable[[], None]) -> None:
+        super().__init__(site, seed, clock, OPEN_CAP, ())
+        self.applied = applied
+
+    def turn(self) -> None:
+        super().turn()
+        self.applied()
+
+
+Acknowledge = Callable[["HollowDispatcher", Position, int], None]
+
+
+class HollowDispatcher:
+    """One dispatcher without requests. `acknowledge` hears of each new position in force, with the moment
+    (monotonic, us). Each start makes everything anew, as a new process would."""
+
+    def __init__(self, number: int, name: str, site: Site, acknowledge: Acknowledge) -> None:
+        self.number, self.name, self.site = number, name, site
+        self.acknowledge = acknowledge
+        self.owner: ReportingOwner | None = None
+        self.follower: Follower | None = None
+        self.in_force = Position(0, 0)
+        self.lives = 0
+        self.audited = Position(0, 0)  # up to where the rig has looked into its Router
+        self.lost_before = 0  # connections that earlier lives have lost
+        self._parts: list[asyncio.Task[None]] = []
+
+    @property
+    def running(self) -> bool:
+        return bool(self._parts)
+
+    @property
+    def reconnects(self) -> int:
+        return self.lost_before + (self.follower.reconnects() if self.follower is not None else 0)
+
+    def start(self, factory: FollowerFactory, source: Source) -> None:
+        self.in_force = Position(0, 0)
+        self.owner = self.make_owner(source.chance.getrandbits(32))
+        self.follower = factory(self.hearer(), source)
+        self._parts = [
+            asyncio.create_task(self.owner.run(), name=f"{self.name} owner"),
+            asyncio.create_task(self.follower.run(), name=f"{self.name} follower"),
+        ]
+
+    def make_owner(self, seed: int) -> ReportingOwner:
+        return ReportingOwner(self.site, seed, Clock(), self.applied)
+
+    def hearer(self) -> Hearer:
+        assert self.owner is not None
+        return self.owner
+
+    def applied(self) -> None:
+        """All that was handed over by now is in force."""
+        if self.follower is None:
+            return
+        position = self.follower.position()
+        if position != self.in_force:
+            self.in_force = position
+            self.acknowledge(self, position, time.monotonic_ns() // 1_000)
+
+    async def stop(self) -> None:
+        parts, self._parts = self._parts, []
+        for part in parts:
+            part.cancel()
+        await asyncio.gather(*parts, return_exceptions=True)
+        self.lost_before = self.reconnects
+        self.owner = self.follower = None
