Hollow dispatchers, their pairing check, and a scale run with every fault

Acknowledgements are checked against each Router. The stand-in log told a follower that is ahead of it nothing while it had events for others; its heartbeat now counts from the last line and bears the log's own number.

Not run: the whole scene.

--- /dev/null
+++ b/hoistplank/lab/scale/replay.py
@@ -0,0 +1,86 @@
+"""Turns what a scene plans into lines of the change log, and into what must then be in force. No I/O."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Any
+
+from hoistplank.lab.scale.fleet import Fleet
+from hoistplank.lab.scale.hollow_messages import Expect, HostState
+from hoistplank.lab.scale.scene_schedule import Change, HostStep, Planned, Purge
+from hoistplank.standins.settings import listing
+
+PURGE, CHANGE, HOST, RENEWAL = "purge", "change", "host", "renewal"
+KINDS = (PURGE, CHANGE, HOST, RENEWAL)
+FIRST_UNITS, STEPS_OF_UNITS = 100.0, 50
+
+
+@dataclass(frozen=True, slots=True)
+class Told:
+    """One event: its kind, its line of the log, and what a Router must hold once it is in force."""
+
+    kind: str
+    event: dict[str, Any]
+    expected: Expect
+
+
+class Teller:
+    """The source's state: its epoch and number, and the cache hosts as they were last told.
+
+    A configuration change is told as a whole list of cache hosts with other capacities: the only
+    configuration that the change log carries to a running dispatcher.
+    """
+
+    def __init__(self, fleet: Fleet) -> None:
+        self.fleet, self.epoch, self.number = fleet, 0, 0
+        self.units = FIRST_UNITS
+        self.boot_ms = [0] * fleet.hosts
+        self.states = ["ready"] * fleet.hosts
+
+    def first(self) -> Told:
+        """The whole list, as the first event of an epoch."""
+        return self._whole(RENEWAL)
+
+    def begin_anew(self) -> Told:
+        """The source has lost its state: it counts from 1 again."""
+        self.epoch, self.number = self.epoch + 1, 0
+        return self.first()
+
+    def next(self, planned: Planned, unix_ms: int) -> Told:
+        match planned:
+            case Purge(_, thing):
+                self.number += 1
+                event = {"seq": self.number, "invalidate": {"time": unix_ms, "object": thing}}
+                expected = Expect(self.epoch, self.number, thing, unix_ms * 1_000)
+                return Told(PURGE, event, expected)
+            case Change(_, number):
+                self.units = FIRST_UNITS + number % STEPS_OF_UNITS
+                return self._whole(CHANGE)
+            case HostStep(_, host, state):
+                self.states[host] = state
+                if state == "ready":
+                    self.boot_ms[host] = unix_ms
+                self.number += 1
+                return Told(
+                    HOST,
+                    listing(self.number, [self._row(host)]),
+                    Expect(self.epoch, self.number, hosts=[self._state(host)]),
+                )
+
+    def _whole(self, kind: str) -> Told:
+        self.number += 1
+        listed = [host for host in range(self.fleet.hosts) if self.states[host] != "gone"]
+        rows = [*self.fleet.hub_rows(), *(self._row(host) for host in listed)]
+        states = [self._state(host) for host in range(self.fleet.hosts)]
+        return Told(
+            kind,
+            listing(self.number, rows, whole=True),
+            Expect(self.epoch, self.number, hosts=states),
+        )
+
+    def _row(self, host: int) -> dict[str, Any]:
+        return self.fleet.host_row(host, self.boot_ms[host], self.units, self.states[host])
+
+    def _state(self, host: int) -> HostState:
+        name = str(self._row(host)["uid"])
+        return HostState(name, self.states[host], self.boot_ms[host] * 1_000, self.units)
--- a/hoistplank/standins/changelog.py
+++ b/hoistplank/standins/changelog.py
@@ -27,22 +27,32 @@
     async def talk(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         at = int((await reader.readline()).split()[1])
         self.since.append(at)
-        index = 0
+        index, loop = 0, asyncio.get_running_loop()
+        beat_at = loop.time() + HEARTBEAT_S
         while True:
             # Danger: a scan of the whole log for each event makes an hour of events cost its square.
             while index < len(self.log):
+                if writer.is_closing():
+                    return
                 index, at, lines = self._next_lines(index, at)
-                writer.write(lines)
-                await writer.drain()
+                if lines:
+                    writer.write(lines)
+                    await writer.drain()
+                    beat_at = loop.time() + HEARTBEAT_S
             try:
-                # Each second a line with the last number alone: without it the log counts as lost.
+                # A second after the last line one with the last number alone: without it the log counts as
+                # lost. Danger: counted from the last event, a follower that is ahead of a log that began
+                # anew would hear nothing at all while that tells events.
                 # Danger: `wait_for` would begin to wait a turn later, and what is told meanwhile be missed.
-                async with asyncio.timeout(HEARTBEAT_S):
+                async with asyncio.timeout_at(beat_at):
                     await self._told.wait()
             except TimeoutError:
                 if writer.is_closing():
                     return
-                writer.write(b'{"seq":%d}\n' % at)
+                # Its own number, also where the follower's is above it: it tells a log that began anew.
+                last = self.log[-1]["seq"] if self.log else at
+                writer.write(b'{"seq":%d}\n' % last)
+                beat_at = loop.time() + HEARTBEAT_S
 
     def _next_lines(self, index: int, at: int) -> tuple[int, int, bytes]:
         """The next lines for a follower that stands at `index` and has been told up to number `at`."""
