--- a/benchmarks/xds.py
+++ b/benchmarks/xds.py
@@ -23,7 +23,7 @@
 from benchmarks.verdict import verdict
 from hoistplank.choice import Router
 from hoistplank.interface import HostEntry
-from hoistplank.program.berth import Berth, read
+from hoistplank.program.configuration import Configuration, read
 from hoistplank.standins.changelog import ChangeLog
 from hoistplank.standins.first import first_choice
 from hoistplank.standins.proxy import Proxy
@@ -55,7 +55,7 @@
         ]
         self.targets += [target("p", "parent", 8_100), target("o", "origin", 8_101)]
 
-    def berth(self) -> Berth:
+    def configuration(self) -> Configuration:
         file = self.folder / "config.json"
         known = {"seq": 1, "results": [listing(1, self.targets, whole=True)]}
         file.write_text(
@@ -74,7 +74,7 @@
 
     async def __aenter__(self) -> Place:
         self.port = await serve(self.log.talk)
-        self.control = Control(self.berth())
+        self.control = Control(self.configuration())
         await self.control.serve("127.0.0.1:0")
         self.task = asyncio.create_task(self.control.run())
         return self
--- a/hoistplank/__main__.py
+++ b/hoistplank/__main__.py
@@ -21,34 +21,34 @@
     import structlog
     import uvloop
 
-    from hoistplank.program.berth import BadConfiguration, read, read_again
+    from hoistplank.program.configuration import BadConfiguration, read, read_again
     from hoistplank.program.journal import open_log
     from hoistplank.program.service import Additions, Service
 
     additions: Additions | None = None
     form = os.environ.get("HOISTPLANK_LOG", "lines")
     try:
-        berth = read(os.environ)
+        configuration = read(os.environ)
         if form not in ("lines", "json"):
             raise BadConfiguration(f"HOISTPLANK_LOG: '{form[:20]}' is neither 'lines' nor 'json'")
         if file := os.environ.get("HOISTPLANK_OPERATOR", ""):
             from hoistplank.program.additions import added
 
-            additions = added(file, berth)
+            additions = added(file, configuration)
             form = os.environ.get("HOISTPLANK_LOG", additions.form)
     except BadConfiguration as wrong:
         print(f"hoistplank: {wrong}", file=sys.stderr)
         return 2
-    open_log(berth.name, form)
+    open_log(configuration.name, form)
 
     async def serve() -> int:
-        return await Service(berth, lambda: read_again(os.environ), early, additions).run()
+        return await Service(configuration, lambda: read_again(os.environ), early, additions).run()
 
     try:
         with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
             return runner.run(serve())
     except OSError as wrong:
-        structlog.get_logger().error("can't listen", address=berth.listen, wrong=str(wrong))
+        structlog.get_logger().error("can't listen", address=configuration.listen, wrong=str(wrong))
         return 1
 
 
--- a/hoistplank/cli/control.py
+++ b/hoistplank/cli/control.py
@@ -52,23 +52,23 @@
 
     Without --certificate only loopback addresses are served. Exit code 2: what was given can't be used.
     """
-    from hoistplank.program.berth import BadConfiguration, read
+    from hoistplank.program.configuration import BadConfiguration, read
     from hoistplank.program.journal import open_log
     from hoistplank.xds.control import Control
 
     try:
-        berth = read({**os.environ, **({"EDGE_CONFIG": config} if config else {})})
+        configuration = read({**os.environ, **({"EDGE_CONFIG": config} if config else {})})
         credentials = _credentials(certificate, key, client_ca)
     except (BadConfiguration, OSError) as wrong:
         return fail(str(wrong))
     if credentials is None and not listen.startswith(("127.", "localhost:", "[::1]:")):
         return fail(f"--listen {listen}: without certificates only a loopback address is served")
-    open_log(berth.name, os.environ.get("HOISTPLANK_LOG", "lines"))
+    open_log(configuration.name, os.environ.get("HOISTPLANK_LOG", "lines"))
 
     async def serve() -> None:
         import structlog
 
-        log, made, ended = structlog.get_logger(), Control(berth), asyncio.Event()
+        log, made, ended = structlog.get_logger(), Control(configuration), asyncio.Event()
         for number in (signal.SIGTERM, signal.SIGINT):
             asyncio.get_running_loop().add_signal_handler(number, ended.set)
         port = await made.serve(listen)
--- a/hoistplank/levels/desk.py
+++ b/hoistplank/levels/desk.py
@@ -17,7 +17,7 @@
 from hoistplank.levels.signals import Gauges, Watch
 from hoistplank.operator.faults import Fault, Faults
 from hoistplank.operator.schema import Section
-from hoistplank.program.berth import Berth
+from hoistplank.program.configuration import Configuration
 from hoistplank.routing.owner import Owner, Told
 from hoistplank.transport.ledger import Ledger
 
@@ -31,10 +31,10 @@
     ledger: Ledger
 
 
-def built(section: Section, berth: Berth) -> tuple[Ladder, Gauges, Reduced]:
+def built(section: Section, configuration: Configuration) -> tuple[Ladder, Gauges, Reduced]:
     """The ladder, the gauges and what holds at full service; raises Faults."""
     faults: list[Fault] = []
-    tracks = {row.name: row.semantics for row in berth.site.tariffs}
+    tracks = {row.name: row.semantics for row in configuration.site.tariffs}
     forms.tracks_known(section, tracks, faults)
     made = forms.levels(section, faults)
     ages = forms.ages(section, faults)
@@ -56,9 +56,9 @@
 class Levels:
     """Made before anything listens; `attach` sets its parts to work beside the program's own."""
 
-    def __init__(self, section: Section, file: str, berth: Berth) -> None:
-        self.section, self.file, self.berth = section, file, berth
-        self.ladder, self.gauges, self.base = built(section, berth)
+    def __init__(self, section: Section, file: str, configuration: Configuration) -> None:
+        self.section, self.file, self.configuration = section, file, configuration
+        self.ladder, self.gauges, self.base = built(section, configuration)
         self.changes: deque[Change] = deque(maxlen=KEPT_CHANGES)
         self.owner: Owner | None = None
         self.ledger: Ledger | None = None
@@ -66,7 +66,7 @@
 
     def attach(self, host: Host) -> list[tuple[str, Coroutine[Any, Any, None]]]:
         self.owner, self.ledger = host.owner, host.ledger
-        utility = {row.name: row.utility for row in self.berth.site.tariffs}
+        utility = {row.name: row.utility for row in self.configuration.site.tariffs}
         self.owner.watch = Watch(self.gauges, utility)
         self.owner.admission.bounds = forms.bounds(self.section, self.owner.admission.bounds.most)
         self.owner.tell(Told(self.base))
@@ -85,7 +85,7 @@
         watch = self.owner.watch
         assert watch is not None
         held = sum(self.ledger.held.values())
-        watch.resources(now, resident_share(self.berth.memory_mb), held / max(1, self.ledger.room))
+        watch.resources(now, resident_share(self.configuration.memory_mb), held / max(1, self.ledger.room))
         change = self.ladder.step(now, self.gauges.readings(now))
         if change is not None:
             self._changed(change)
@@ -178,7 +178,7 @@
     def prepared(self, section: Section) -> Callable[[], None]:
         """Another file's levels, checked; raises Faults; the call returned takes them up, keeping the level
         in force where one of its name is still there."""
-        ladder, gauges, base = built(section, self.berth)
+        ladder, gauges, base = built(section, self.configuration)
 
         def take() -> None:
             assert self.owner is not None
--- a/hoistplank/membership/desk.py
+++ b/hoistplank/membership/desk.py
@@ -17,7 +17,7 @@
 from hoistplank.membership.roster import TOLD, Roster
 from hoistplank.operator.faults import Fault, Faults
 from hoistplank.operator.schema import Section
-from hoistplank.program.berth import Berth
+from hoistplank.program.configuration import Configuration
 from hoistplank.protocol.changelog import Event, Fleet, Target, address
 from hoistplank.protocol.errors import BadBytes
 from hoistplank.routing.attempts import Attempt
@@ -80,10 +80,12 @@
     """One for the program. Raises Faults where its own name can't be reached; a folder that fails costs
     freshness."""
 
-    def __init__(self, section: Section, file: str, berth: Berth, clock: Clock | None = None) -> None:
-        self.section, self.berth, self.clock = section, berth, clock or Clock()
+    def __init__(
+        self, section: Section, file: str, configuration: Configuration, clock: Clock | None = None
+    ) -> None:
+        self.section, self.configuration, self.clock = section, configuration, clock or Clock()
         self.probe_s: float = section["probe-time"] / 1e6
-        self.roster = Roster(Random(berth.seed), berth.site.dispatchers)
+        self.roster = Roster(Random(configuration.seed), configuration.site.dispatchers)
         self.current: dict[str, KeptHost] = {}
         self.history, self.rev, self.heard_us, self.wrote_heard_us = History(), 0, 0, 0
         self.keeper: Keeper | None = None
@@ -123,12 +125,12 @@
             ]
             self.roster.keep(now, seeds, now, History(), self._useful)
         zones = {row.zone for row in (entry.host for entry in self.roster.rows.values())}
-        if section["seed"] and self.state is None and berth.site.zone not in zones:
+        if section["seed"] and self.state is None and configuration.site.zone not in zones:
             raise Faults(
                 [
                     Fault(
                         section.at("seed"),
-                        f"no seed of this dispatcher's location '{berth.site.zone}'",
+                        f"no seed of this dispatcher's location '{configuration.site.zone}'",
                         "one at least",
                     )
                 ]
@@ -141,9 +143,9 @@
         if self.keeper is not None:
             self.keeper.start(self.state)
         host.listing.watch = self
-        if self.berth.known.results:
+        if self.configuration.known.results:
             # The configuration's own list goes before a kept one: it was told at this start.
-            for event in self.berth.known.results:
+            for event in self.configuration.known.results:
                 self.heard(event)
             return [("feeling out", self._until_ended())]
         now = self.clock.now()
@@ -201,7 +203,7 @@
             if whole or (event.fleet is not None and self.state is None):
                 held = self.state.purges if self.state is not None else []
                 self.state = KeptList(
-                    self.berth.written.changelog,
+                    self.configuration.written.changelog,
                     now,
                     self.rev,
                     list(self.current.values()),
@@ -233,7 +235,7 @@
     def _recent(self, purges: list[KeptPurge], now: int) -> list[KeptPurge]:
         """Those that a copy may still be younger than: what the module itself goes on asking for, and a
         minute."""
-        horizon = now - 2 * self.berth.site.rules.purge_takes_us - 60_000_000
+        horizon = now - 2 * self.configuration.site.rules.purge_takes_us - 60_000_000
         return [purge for purge in purges if purge.made_us > horizon]
 
     def alive(self) -> None:
@@ -281,12 +283,12 @@
 
     def _useful(self, host: KeptHost) -> bool:
         """The Router takes cache hosts of its own location alone, and any parent or origin."""
-        site = self.berth.site
+        site = self.configuration.site
         return host.zone == site.zone or host.kind in (site.parent_kind, site.origin_kind)
 
     def _is_enough(self) -> bool:
         """A cache host of this location and something to fill from have proved themselves."""
-        site = self.berth.site
+        site = self.configuration.site
         rows = [entry.host for entry in self.roster.rows.values() if entry.state in TOLD]
         sources = (site.parent_kind, site.origin_kind)
         return any(row.kind not in sources and row.zone == site.zone for row in rows) and any(
--- a/hoistplank/program/additions.py
+++ b/hoistplank/program/additions.py
@@ -8,7 +8,7 @@
 
 from hoistplank.operator.faults import Fault, Faults
 from hoistplank.operator.schema import Section
-from hoistplank.program.berth import BadConfiguration, Berth
+from hoistplank.program.configuration import BadConfiguration, Configuration
 from hoistplank.program.service import Addition
 
 if TYPE_CHECKING:
@@ -21,8 +21,8 @@
 class Added:
     """The additions of one operator's file, and its reading anew."""
 
-    def __init__(self, file: str, berth: Berth, section: Section) -> None:
-        self.file, self.berth, self.section = file, berth, section
+    def __init__(self, file: str, configuration: Configuration, section: Section) -> None:
+        self.file, self.configuration, self.section = file, configuration, section
         self.form: str = section["log"]["format"]
         self.doorkeeper: Desk | None = None
         self.each: list[Addition] = []
@@ -30,17 +30,17 @@
         if section["callers"] is not None:
             from hoistplank.callers.desk import Desk
 
-            _tracks_known(section["callers"], berth)
-            self.doorkeeper = Desk(section["callers"], file, berth.site)
+            _tracks_known(section["callers"], configuration)
+            self.doorkeeper = Desk(section["callers"], file, configuration.site)
             self.each.append(self.doorkeeper)
         if section["membership"] is not None:
             from hoistplank.membership.desk import Membership
 
-            self.each.append(Membership(section["membership"], file, berth))
+            self.each.append(Membership(section["membership"], file, configuration))
         if section["levels"] is not None:
             from hoistplank.levels.desk import Levels
 
-            self.levels = Levels(section["levels"], file, berth)
+            self.levels = Levels(section["levels"], file, configuration)
             self.each.append(self.levels)
 
     def read_again(self) -> Callable[[], None]:
@@ -55,7 +55,7 @@
                     )
             take_up, take_levels = None, None
             if self.doorkeeper is not None:
-                _tracks_known(section["callers"], self.berth)
+                _tracks_known(section["callers"], self.configuration)
                 take_up = self.doorkeeper.prepared(section["callers"])
             if self.levels is not None:
                 take_levels = self.levels.prepared(section["levels"])
@@ -77,8 +77,8 @@
     return load(file)
 
 
-def _tracks_known(callers: Section, berth: Berth) -> None:
-    known = {tariff.name for tariff in berth.site.tariffs}
+def _tracks_known(callers: Section, configuration: Configuration) -> None:
+    known = {tariff.name for tariff in configuration.site.tariffs}
     faults = [
         Fault(
             tenant.at("tracks"), f"the track '{track}'", "one of the settings': " + ", ".join(sorted(known))
@@ -91,10 +91,10 @@
         raise Faults(faults)
 
 
-def added(file: str, berth: Berth) -> Added:
+def added(file: str, configuration: Configuration) -> Added:
     """The additions to a dispatcher; raises BadConfiguration, a line for each fault."""
     try:
-        return Added(file, berth, _loaded(file))
+        return Added(file, configuration, _loaded(file))
     except ModuleNotFoundError as wrong:
         raise BadConfiguration(
             f"{file}: needs '{wrong.name}': pip install -r requirements-service.txt"
--- a/hoistplank/program/berth.py
+++ b/hoistplank/program/configuration.py
@@ -1,7 +1,7 @@
-"""The one place where the configuration is read, checked and given its defaults.
+"""Reads and checks the configuration of one dispatcher and fills in its defaults.
 
-It comes as a JSON file named by EDGE_CONFIG; EDGE_NAME and EDGE_LISTEN, where set, must agree with it. What
-can't be used is told by the path of its key, before anything listens. Unknown keys are let pass.
+It is a JSON file named by EDGE_CONFIG; EDGE_NAME and EDGE_LISTEN, where set, must agree with it. A value that
+can't be used is reported by the path of its key, before anything listens. Unknown keys are ignored.
 """
 
 from __future__ import annotations
@@ -45,8 +45,8 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Berth:
-    """What this dispatcher is told of its place, checked."""
+class Configuration:
+    """The checked configuration of this dispatcher, with its defaults filled in."""
 
     written: Written
     name: str
@@ -99,18 +99,19 @@
     return made
 
 
-def read_again(environment: Mapping[str, str]) -> Berth:
+def read_again(environment: Mapping[str, str]) -> Configuration:
     """At a reload: what the environment says of name and address held for the start."""
     return read({"EDGE_CONFIG": environment.get("EDGE_CONFIG", "")})
 
 
-def fixed(old: Berth, new: Berth) -> list[str]:
+def fixed(old: Configuration, new: Configuration) -> list[str]:
     """The keys of a file read again that differ and can't be changed while the program runs."""
     keys = ("name", "listen", "limits", "settings")
     return [key for key in keys if getattr(old.written, key) != getattr(new.written, key)]
 
 
-def read(environment: Mapping[str, str]) -> Berth:
+def read(environment: Mapping[str, str]) -> Configuration:
+    """The configuration that the environment names. Raises BadConfiguration."""
     path = environment.get("EDGE_CONFIG", "")
     if not path:
         raise BadConfiguration("EDGE_CONFIG is not set: it names the configuration file")
@@ -138,7 +139,7 @@
     facts = Fields([])
     facts.pairs = flat(written.settings)
     try:
-        return Berth(
+        return Configuration(
             written=written,
             name=written.name,
             listen=_address("listen", written.listen),
--- a/hoistplank/program/service.py
+++ b/hoistplank/program/service.py
@@ -14,7 +14,7 @@
 
 import structlog
 
-from hoistplank.program.berth import BadConfiguration, Berth, fixed
+from hoistplank.program.configuration import BadConfiguration, Configuration, fixed
 from hoistplank.routing.caches import answers_of
 from hoistplank.routing.clock import Clock
 from hoistplank.routing.front import Doorkeeper, Front
@@ -72,26 +72,29 @@
 class Service:
     def __init__(
         self,
-        berth: Berth,
-        read_again: Callable[[], Berth],
+        configuration: Configuration,
+        read_again: Callable[[], Configuration],
         early: Sequence[int] = (),
         additions: Additions | None = None,
     ) -> None:
-        self.berth, self.phase, self.code, self.additions = berth, Phase.STARTING, 0, additions
+        self.configuration, self.additions = configuration, additions
+        self.phase, self.code = Phase.STARTING, 0
         self.provisional = False  # whether hosts of an own list have proved themselves
         self.read_again, self.early = read_again, early
-        deadline_s = min(LONGEST_S, max(row.deadline_us for row in berth.site.tariffs) / 1e6)
+        deadline_s = min(LONGEST_S, max(row.deadline_us for row in configuration.site.tariffs) / 1e6)
         self.last_answer_s, self.last_byte_s = deadline_s + ANSWER_S, deadline_s + BYTE_S
         self.end_s = deadline_s + END_S
         self.loop = asyncio.get_running_loop()
-        self.ledger = Ledger(berth.sockets)
-        self.owner = Owner(berth.site, berth.seed, Clock(), berth.open_cap, berth.reported)
+        self.ledger = Ledger(configuration.sockets)
+        self.owner = Owner(
+            configuration.site, configuration.seed, Clock(), configuration.open_cap, configuration.reported
+        )
         self.owner.pool = Pool(
             self.ledger,
-            berth.streams,
-            berth.idle_s,
-            berth.site.rules.connect_us / 1e6 or 1.0,
-            max(row.deadline_us for row in berth.site.tariffs) / 1e6,
+            configuration.streams,
+            configuration.idle_s,
+            configuration.site.rules.connect_us / 1e6 or 1.0,
+            max(row.deadline_us for row in configuration.site.tariffs) / 1e6,
             answers_of,
             lambda host, wrong: self.front.complaints.tell(
                 "cache host's connection closed", host=host, wrong=str(wrong)
@@ -99,16 +102,20 @@
         )
         self.front = Front(
             self.owner,
-            berth.site,
+            configuration.site,
             self.ledger,
-            berth.memory_mb,
+            configuration.memory_mb,
             lambda: self.phase in (Phase.PROVISIONAL, Phase.SERVING),
             additions.doorkeeper if additions is not None else None,
         )
         self.listing = Listing(
-            self.owner, berth.changelog, berth.known, Random(berth.seed), berth.site.rules.drain_us / 1e6
+            self.owner,
+            configuration.changelog,
+            configuration.known,
+            Random(configuration.seed),
+            configuration.site.rules.drain_us / 1e6,
         )
-        self.listener = Listener(berth.listen, self.ledger, self.front.greet)
+        self.listener = Listener(configuration.listen, self.ledger, self.front.greet)
         self.terminated, self.renewed = asyncio.Event(), asyncio.Event()
 
     def enter(self, phase: Phase) -> None:
@@ -153,10 +160,10 @@
             waiting_answers_kb=self.front.most_out >> 10,
             open_requests_kb=self.front.most_held >> 10,
         )
-        if self.berth.memory_mb < LEAST_MB:
+        if self.configuration.memory_mb < LEAST_MB:
             log.warning(
                 "little memory: few large answers can wait for slow clients at once",
-                memory_mb=self.berth.memory_mb,
+                memory_mb=self.configuration.memory_mb,
             )
         done, _ = await asyncio.wait(parts, return_when=asyncio.FIRST_COMPLETED)
         for part in done:
@@ -184,7 +191,7 @@
             await self.renewed.wait()
             self.renewed.clear()
             try:
-                berth = self.read_again()
+                configuration = self.read_again()
                 take_up = self.additions.read_again() if self.additions is not None else None
             except BadConfiguration as wrong:
                 # Danger: a file that is half written or wrong would take the running dispatcher with it.
@@ -192,10 +199,10 @@
                 continue
             if take_up is not None:
                 take_up()
-            for key in fixed(self.berth, berth):
+            for key in fixed(self.configuration, configuration):
                 log.warning("can't change while running", key=key)
-            log.info("configuration read again", changelog=berth.written.changelog)
-            self.listing.move(berth.changelog)
+            log.info("configuration read again", changelog=configuration.written.changelog)
+            self.listing.move(configuration.changelog)
 
     async def _until(self, known: Callable[[], bool]) -> None:
         while not known() and not self.terminated.is_set():
--- a/hoistplank/xds/control.py
+++ b/hoistplank/xds/control.py
@@ -10,7 +10,7 @@
 import structlog
 
 from hoistplank.interface import Site
-from hoistplank.program.berth import Berth
+from hoistplank.program.configuration import Configuration
 from hoistplank.protocol.changelog import Target
 from hoistplank.routing.clock import Clock
 from hoistplank.routing.listing import Listing
@@ -61,13 +61,13 @@
 class Control:
     """One control process: the change log in, resources out. It is the `Listing`'s hearer."""
 
-    def __init__(self, berth: Berth, limits: Limits | None = None) -> None:
-        self.site, self.clock = berth.site, Clock()
-        self.book = Book(berth.site.floors_us)
+    def __init__(self, configuration: Configuration, limits: Limits | None = None) -> None:
+        self.site, self.clock = configuration.site, Clock()
+        self.book = Book(configuration.site.floors_us)
         self.hub = Hub(self.book, self.clock.now, limits)
         self.server: Any = None
         self.port = 0
-        self.listing = Listing(self, berth.changelog, berth.known, Random(berth.seed))
+        self.listing = Listing(self, configuration.changelog, configuration.known, Random(configuration.seed))
 
     def tell(self, event: Event) -> None:
         """What the change log says, in order; followers are told at once, drains and purges first."""
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -15,7 +15,7 @@
 from hoistplank.interface import Decision, HostEntry, HouseRules, Reduced, Result, Site, Tariff
 from hoistplank.program import service
 from hoistplank.program.additions import added
-from hoistplank.program.berth import Berth, read, read_again
+from hoistplank.program.configuration import Configuration, read, read_again
 from hoistplank.program.service import Service
 from hoistplank.standins.changelog import ChangeLog
 from hoistplank.standins.settings import SETTINGS, listing, target
@@ -193,7 +193,7 @@
 # A dispatcher on loopback, and what stands around it.
 
 
-def berth(folder: Path, **changes: Any) -> Berth:
+def configuration(folder: Path, **changes: Any) -> Configuration:
     """The configuration with some keys changed; None takes a key out. A dot in a name goes one deeper."""
     written: dict[str, Any] = {
         "name": "n0",
@@ -234,7 +234,7 @@
         known = {"seq": 1, "results": [listing(1, self.targets, whole=True)]}
         port = await serve(self.changelog.talk)
         changes = {"changelog": f"127.0.0.1:{port}", "known": known} | self.changes
-        made = berth(self.folder, **changes)
+        made = configuration(self.folder, **changes)
         self.additions = added(str(self.folder / "op.sexp"), made) if self.operator else None
         self.service = Service(
             made,
--- a/tests/test_callers_service.py
+++ b/tests/test_callers_service.py
@@ -29,7 +29,7 @@
 from hoistplank.standins.authority import Authority, Signer, operator_text, write_keys
 from hoistplank.standins.deployment import free_port
 from hoistplank.standins.wire import CacheHost, Client, connected
-from tests.helpers import Running, berth, until
+from tests.helpers import Running, configuration, until
 
 OLD, NEW = Signer("k1"), Signer("k2", "ES256")
 
@@ -228,7 +228,11 @@
     Known(tmp_path)
     change(tmp_path)
     with pytest.raises(Faults) as caught:
-        Desk(load(str(tmp_path / "op.sexp"))["callers"], str(tmp_path / "op.sexp"), berth(tmp_path).site)
+        Desk(
+            load(str(tmp_path / "op.sexp"))["callers"],
+            str(tmp_path / "op.sexp"),
+            configuration(tmp_path).site,
+        )
     assert told in str(caught.value) and str(caught.value).startswith(f"{tmp_path}/op.sexp:")
     assert "PRIVATE" not in str(caught.value)
 
--- a/tests/test_ready.py
+++ b/tests/test_ready.py
@@ -16,7 +16,7 @@
 from hoistplank.standins.changelog import ChangeLog
 from hoistplank.standins.settings import listing, target
 from hoistplank.standins.wire import Client, serve
-from tests.helpers import berth
+from tests.helpers import configuration
 
 # Nine in ten are to be ready within 10 s, and a tenth of a core is the least part of one that we reckon with.
 MOST_CPU_S = 1.0
@@ -43,7 +43,7 @@
             free.close()
             hosts = [target(f"h{n}", "box", 9) for n in range(200)]
             known = {"seq": 1, "results": [listing(1, hosts, whole=True)]}
-            berth(tmp_path, listen=listen, known=known, changelog=f"127.0.0.1:{port}")
+            configuration(tmp_path, listen=listen, known=known, changelog=f"127.0.0.1:{port}")
             program = await asyncio.create_subprocess_exec(
                 sys.executable,
                 "-m",
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -19,7 +19,7 @@
 import uvloop
 
 from hoistplank.interface import Result
-from hoistplank.program.berth import BadConfiguration, read
+from hoistplank.program.configuration import BadConfiguration, read
 from hoistplank.program.service import Phase
 from hoistplank.protocol import fastcgi
 from hoistplank.routing.attempts import ENDINGS
@@ -27,7 +27,7 @@
 from hoistplank.routing.owner import Listed, Purged
 from hoistplank.standins.settings import SETTINGS, listing, target
 from hoistplank.standins.wire import CacheHost, Client, serve
-from tests.helpers import Running, berth, until
+from tests.helpers import Running, configuration, until
 
 BLOB = bytes(range(256)) * 900
 KEY = {"HTTP_X_OPERATION_KEY": "5c0f" * 8}
@@ -701,16 +701,16 @@
         short = copy.deepcopy(SETTINGS["classes"])
         for track in short:
             track["give_up"] = 0.9
-        berth(tmp_path, listen=listen, known=known, **{"settings.classes": short})
+        configuration(tmp_path, listen=listen, known=known, **{"settings.classes": short})
         program = await asyncio.create_subprocess_exec(
             sys.executable,
             "-c",
             "import hoistplank.__main__ as m, sys, os, signal\n"
-            "from hoistplank.program import berth\n"
-            "read = berth.read\n"
+            "from hoistplank.program import configuration\n"
+            "read = configuration.read\n"
             "def reread(env):\n"
-            "    berth.read = read\n    os.kill(os.getpid(), signal.SIGHUP)\n    return read(env)\n"
-            "berth.read = reread\nsys.exit(m.main())",
+            "    configuration.read = read\n    os.kill(os.getpid(), signal.SIGHUP)\n    return read(env)\n"
+            "configuration.read = reread\nsys.exit(m.main())",
             env={"EDGE_CONFIG": str(tmp_path / "config.json"), "EDGE_LISTEN": listen},
             stdout=asyncio.subprocess.PIPE,
         )
@@ -810,11 +810,11 @@
 )
 def test_bad_configuration_names_its_key(tmp_path: Path, key: str, value: Any, told: str) -> None:
     with pytest.raises(BadConfiguration, match=told):
-        berth(tmp_path, **{key: value})
+        configuration(tmp_path, **{key: value})
 
 
 def test_configuration_that_disagrees_or_is_none(tmp_path: Path) -> None:
-    berth(tmp_path)
+    configuration(tmp_path)
     file = str(tmp_path / "config.json")
     with pytest.raises(
         BadConfiguration, match="listen: the file says '127.0.0.1:0', EDGE_LISTEN '1.2.3.4:5'"
--- a/tests/test_xds.py
+++ b/tests/test_xds.py
@@ -32,7 +32,7 @@
 from hoistplank.xds.follower import BadRequest, Follower
 from hoistplank.xds.service import Limits
 from hoistplank.xds.table import Firsts, key_of, order
-from tests.helpers import berth
+from tests.helpers import configuration
 
 S = 1_000_000
 ABOVE = [HostEntry(kind[0], "hub", kind, 0, 100.0, 0, "up") for kind in ("parent", "origin")]
@@ -46,7 +46,7 @@
 
 
 def test_the_order_is_the_modules_own(tmp_path: Path) -> None:
-    site, chance = berth(tmp_path).site, Random(3)
+    site, chance = configuration(tmp_path).site, Random(3)
     weights = {f"box-{n}": 100.0 for n in range(30)}
     router, now = Router(site, 1), 100 * S
     entries = [HostEntry(uid, "z1", "box", 0, units, 0, "up") for uid, units in weights.items()]
@@ -375,7 +375,9 @@
     async def another(self) -> Control:
         """One more control process on the same log."""
         known = {"seq": 1, "results": [listing(1, self.targets, whole=True)]}
-        made = Control(berth(self.folder, changelog=f"127.0.0.1:{self.log_port}", known=known), self.limits)
+        made = Control(
+            configuration(self.folder, changelog=f"127.0.0.1:{self.log_port}", known=known), self.limits
+        )
         await made.serve("127.0.0.1:0")
         self.tasks.append(asyncio.create_task(made.run()))
         return made
@@ -617,7 +619,7 @@
 
 def test_cold_hosts_get_their_share_and_warm_up(tmp_path: Path) -> None:
     async def scene() -> None:
-        made = Control(berth(tmp_path))
+        made = Control(configuration(tmp_path))
         now = made.clock.now()
         rows = [Target(f"box-{n}", f"127.0.0.1:{9_000 + n}", "z1", "box", 0, "ready", 1.0) for n in range(5)]
         cold = Target("box-9", "127.0.0.1:9009", "z1", "box", 0, "ready", 1.0, now / 1_000)
@@ -643,7 +645,7 @@
     async def scene() -> None:
         async with Place(tmp_path, hosts=3) as place:
             known = {"seq": 1, "results": [listing(1, place.targets, whole=True)]}
-            berth(tmp_path, changelog=f"127.0.0.1:{place.log_port}", known=known)
+            configuration(tmp_path, changelog=f"127.0.0.1:{place.log_port}", known=known)
             port = free_port()
             words = (sys.executable, "-m", "hoistplank.cli.main", "control")
 
