Path conditions in place of ways and terms in the fleet's laboratory

Need: 'way' stood for a path, for one direction of it, and for links; 'terms' for what is set on it; and the callers' gate has other Terms. Change: lab/fleet/ways.py is path_conditions.py; Terms is PathConditions, PLAIN UNIMPAIRED, Course StreamDirection, Datagrams DatagramDirection; turn/turned are set_conditions; Way and DatagramWay are StreamPath and DatagramPath, world.ways is world.paths, Path (name and side) Direction; an ask's ways are extra_links. The words between rig and relay process change with them; scene files and stored results do not. No change of behaviour.

--- a/hoistplank/lab/drives/sockets.py
+++ b/hoistplank/lab/drives/sockets.py
@@ -147,7 +147,7 @@
         ask.join, ask.renew = "wait-for" in hints, "background" in hints
         ask.back = world.shape.far_us if self.server.zone == "hub" else 0
         if self.server.zone == "hub":
-            ask.ways = [world.zone_links[self.seat.zone]]
+            ask.extra_links = [world.zone_links[self.seat.zone]]
         asks[id] = ask
         world.agenda.at(now + ask.back, self.server.arrive, ask)
 
--- a/hoistplank/lab/drives/virtual.py
+++ b/hoistplank/lab/drives/virtual.py
@@ -32,10 +32,12 @@
 
     def came(self, result: int, note: int, born: int) -> None:
         """Its end has left the host; how it comes here is for the path between them."""
-        ways, seat = self.seat.world.ways, self.seat
-        if ways is None:
+        paths, seat = self.seat.world.paths, self.seat
+        if paths is None:
             return self.end(result, note, born)
-        ways.send(f"d{seat.number}>{self.decision.host}", True, seat.agenda.now, self.end, result, note, born)
+        paths.send(
+            f"d{seat.number}>{self.decision.host}", True, seat.agenda.now, self.end, result, note, born
+        )
 
     def end(self, result: int, note: int, born: int) -> None:
         if not self.over:
@@ -192,11 +194,11 @@
             self.steward.watch.answered(now, row.name, how == SERVED and now - visit.asked_at <= target)
         self.over.add(id)
         self.world.truth.answers.answered(now, id)
-        if self.world.ways is None:
+        if self.world.paths is None:
             self.world.clients.answered(id, how, wait_us, note)
         else:
             answered = self.world.clients.answered
-            self.world.ways.send(f"clients>d{self.number}", True, now, answered, id, how, wait_us, note)
+            self.world.paths.send(f"clients>d{self.number}", True, now, answered, id, how, wait_us, note)
         self._forget(id)
 
     def _forget(self, id: str) -> None:
@@ -264,11 +266,11 @@
         ask.source, ask.keep, ask.oldest_us = decision.source, decision.keep, decision.oldest_us
         ask.join, ask.renew, ask.key, ask.back = decision.join, decision.renew, visit.key, way
         if server.zone == HUB:
-            ask.ways = [world.zone_links[self.zone]]
-        if world.ways is None:
+            ask.extra_links = [world.zone_links[self.zone]]
+        if world.paths is None:
             self.agenda.at(now + way, server.arrive, ask)
         else:
-            world.ways.send(f"d{self.number}>{server.uid}", False, now + way, server.arrive, ask)
+            world.paths.send(f"d{self.number}>{server.uid}", False, now + way, server.arrive, ask)
 
     def ended(self, now: int, attempt: Attempt, result: int, note: int, born: int, at: int) -> None:
         id = attempt.decision.visit
--- a/hoistplank/lab/fleet/processes.py
+++ b/hoistplank/lab/fleet/processes.py
@@ -13,15 +13,15 @@
 from hoistplank.lab.fleet.relays import RelayLost, Relays
 from hoistplank.lab.fleet.scene import Scene
 from hoistplank.lab.fleet.tally import Tally
-from hoistplank.lab.fleet.troubles import FleetTroubles, Path, sibling_paths
-from hoistplank.lab.fleet.virtual import VirtualWays, watched
+from hoistplank.lab.fleet.troubles import Direction, FleetTroubles, sibling_paths
+from hoistplank.lab.fleet.virtual import VirtualPaths, watched
 from hoistplank.lab.model.servers import Server
 from hoistplank.lab.model.shape import S
 from hoistplank.lab.model.world import Seat
 from hoistplank.standins.deployment import free_port
 
 STARVE_S = 0.02  # a core is taken away in slices of this
-OFFICE_FOR = 5  # dispatchers whose ways one relay process carries
+OFFICE_FOR = 5  # dispatchers whose paths one relay process carries
 # Danger: a machine that has other work holds any process up for a moment; an answer that much late over
 # a socket says nothing of the dispatcher. In virtual time the bound is the laboratory's.
 SLACK_US = 250_000
@@ -85,7 +85,7 @@
         self.tally = Tally(self.world.shape, [seat.zone for seat in self.seats])
         self.rows = scene.rows()
         # What the change log tells is held here, not in a relay, so that the truth knows when it was told.
-        self.log_ways = self.world.ways = VirtualWays(self.world)
+        self.log_paths = self.world.paths = VirtualPaths(self.world)
         watched(self.world, self.tally)
         FleetTroubles(self.world, self.rows, self, self.tally).begin()
 
@@ -121,21 +121,21 @@
 
     # What troubles do.
 
-    def turn(self, paths: list[Path], **terms: Any) -> None:
-        told = [path for path in paths if path[0].endswith(">log") and path[1]]
-        self.log_ways.turn(told, **terms)
+    def set_conditions(self, directions: list[Direction], **conditions: Any) -> None:
+        told: list[Direction] = [(name, back) for name, back in directions if back and name.endswith(">log")]
+        self.log_paths.set_conditions(told, **conditions)
         for back in (False, True):
-            rest = [name for name, way in paths if way == back and (name, way) not in told]
-            self.relays.turn(rest, back, **terms)
-        if "silent" in terms:
+            rest = [name for name, side in directions if side == back and (name, side) not in told]
+            self.relays.set_conditions(rest, back, **conditions)
+        if "silent" in conditions:
             # Its heartbeats stand still as well.
-            self.relays.turn([name for name, _ in told], True, silent=terms["silent"])
+            self.relays.set_conditions([name for name, _ in told], True, silent=conditions["silent"])
 
-    def tell(self, ways: list[str], do: str) -> None:
-        told = [(name, True) for name in ways if name.endswith(">log")]
+    def tell(self, paths: list[str], do: str) -> None:
+        told = [(name, True) for name in paths if name.endswith(">log")]
         if do in ("shut", "open"):
-            self.log_ways.turn(told, silent=do == "shut")
-        self.relays.tell(ways, do)
+            self.log_paths.set_conditions(told, silent=do == "shut")
+        self.relays.tell(paths, do)
 
     def older(self, seat: Seat, file: str, down_us: int) -> None:
         assert isinstance(seat, FleetSeat)
--- a/hoistplank/lab/fleet/relay.py
+++ b/hoistplank/lab/fleet/relay.py
@@ -1,6 +1,6 @@
 """A process of relays: `python -m hoistplank.lab.fleet.relay`, told what to do a JSON line at a time.
 
-Each path between two parties is a way with a name. Of streams, the near party connects to the way's port and
+Each path between two parties has a name. Of streams, the near party connects to the port of that path and
 the relay connects to the far one; of datagrams both parties have a port of the relay for each other. It ends
 with its standard input, so that nothing is left when the rig is gone.
 """
@@ -22,7 +22,13 @@
 import uvloop
 from hdrh.histogram import HdrHistogram
 
-from hoistplank.lab.fleet.ways import PLAIN, Course, Datagrams, Terms, chance
+from hoistplank.lab.fleet.path_conditions import (
+    UNIMPAIRED,
+    DatagramDirection,
+    PathConditions,
+    StreamDirection,
+    chance,
+)
 from hoistplank.standins.deployment import held_port
 
 MOST_HELD = 512 * 1024  # bytes of one direction that wait; beyond it the sender is read no more, as by TCP
@@ -83,7 +89,7 @@
 
     def __init__(self, joint: Joint, source: Side, to: Side, back: bool) -> None:
         self.joint, self.source, self.to = joint, source, to
-        self.course = Course[Piece](joint.way.terms[back], joint.way.chances[back])
+        self.direction = StreamDirection[Piece](joint.path.conditions[back], joint.path.chances[back])
         self.queue: deque[tuple[int, Piece]] = deque()
         self.timer: asyncio.TimerHandle | None = None
         self.waits = 0  # bytes that were taken in and not yet handed on
@@ -92,17 +98,17 @@
     def came(self, piece: Piece) -> None:
         now, size = now_us(), len(piece or b"")
         if piece:
-            self.joint.way.count(size)
+            self.joint.path.count(size)
             to = self.to.transport
-            if to is not None and not self.to.ended and not self.queue and self.course.idle(now):
+            if to is not None and not self.to.ended and not self.queue and self.direction.idle(now):
                 # Nothing is set on this direction, and nothing waits there: most of what passes.
                 return to.write(piece)
             self.waits += size
-        self.queue.extend(self.course.push(now, size, piece))
+        self.queue.extend(self.direction.push(now, size, piece))
         self.pump()
 
-    def turned(self, terms: Terms) -> None:
-        self.queue.extend(self.course.turned(now_us(), terms))
+    def set_conditions(self, conditions: PathConditions) -> None:
+        self.queue.extend(self.direction.set_conditions(now_us(), conditions))
         self.pump()
 
     def pump(self) -> None:
@@ -117,7 +123,7 @@
                 self.timer = asyncio.get_running_loop().call_later(-late / 1e6, self.pump)
                 break
             self.queue.popleft()
-            self.joint.way.late(late)
+            self.joint.path.late(late)
             self.waits -= len(piece or b"")
             self.joint.hand(self.to, piece)
         self.mind()
@@ -135,10 +141,10 @@
 
 
 class Joint:
-    """A connection through a way. `dead`: it stays up on both sides, and nothing comes through any more."""
+    """A connection through a path. `dead`: it stays up on both sides, and nothing comes through any more."""
 
-    def __init__(self, way: Way) -> None:
-        self.way, self.dead, self.over = way, False, False
+    def __init__(self, path: StreamPath) -> None:
+        self.path, self.dead, self.over = path, False, False
         self.ends = 0  # directions that have come to their orderly end
         self.near, self.far = Side(self, True), Side(self, False)
         self.there = Lane(self, self.near, self.far, False)
@@ -146,18 +152,18 @@
 
     def made(self, side: Side) -> None:
         if side.near:
-            self.way.joints[self] = None
-            self.way.spawn(self._connect())
+            self.path.joints[self] = None
+            self.path.spawn(self._connect())
         else:
             self.there.pump()
 
     async def _connect(self) -> None:
         loop = asyncio.get_running_loop()
         try:
-            await loop.create_connection(lambda: self.far, "127.0.0.1", self.way.target)
+            await loop.create_connection(lambda: self.far, "127.0.0.1", self.path.target)
         except OSError:
             # Danger: the near side has written already; to it this is a connection that broke, which proves
-            # nothing of what ran. The rig shuts the way of a party that is gone, so that it is refused.
+            # nothing of what ran. The rig shuts the path of a party that is gone, so that it is refused.
             self.over = True
             self.near.break_off()
 
@@ -165,10 +171,10 @@
         if not (self.dead or self.over):
             (self.there if side.near else self.back).came(piece)
 
-    def turned(self) -> None:
-        """The terms have changed."""
-        self.there.turned(self.way.terms[0])
-        self.back.turned(self.way.terms[1])
+    def conditions_changed(self) -> None:
+        """The conditions of the path have changed."""
+        self.there.set_conditions(self.path.conditions[0])
+        self.back.set_conditions(self.path.conditions[1])
 
     def hand(self, to: Side, piece: Piece) -> None:
         """Hands a piece to a side that is connected."""
@@ -206,11 +212,11 @@
             self.near.break_off()
             self.far.break_off()
         if self.near.ended and (self.far.ended or self.far.transport is None):
-            self.way.joints.pop(self, None)
+            self.path.joints.pop(self, None)
 
 
 @dataclass(eq=False)
-class Way:
+class StreamPath:
     """A path of streams between two parties, near and far."""
 
     name: str
@@ -218,7 +224,7 @@
     seed: int
     office: Office
     port: int = 0
-    terms: list[Terms] = field(default_factory=lambda: [PLAIN, PLAIN])  # there, back
+    conditions: list[PathConditions] = field(default_factory=lambda: [UNIMPAIRED, UNIMPAIRED])  # there, back
     joints: dict[Joint, None] = field(default_factory=dict)
     server: asyncio.Server | None = None
     kept: socket.socket | None = None  # holds the port while nothing listens on it
@@ -255,10 +261,10 @@
         for joint in list(self.joints):
             joint.close()
 
-    def turn(self, back: bool, **values: Any) -> None:
-        self.terms[int(back)] = self.terms[int(back)].changed(**values)
+    def set_conditions(self, back: bool, **values: Any) -> None:
+        self.conditions[int(back)] = self.conditions[int(back)].changed(**values)
         for joint in list(self.joints):
-            joint.turned()
+            joint.conditions_changed()
 
     def deaden(self) -> None:
         for joint in self.joints:
@@ -266,33 +272,33 @@
 
 
 class Mouth(asyncio.DatagramProtocol):
-    """One of the two ports of a datagram way: where the one party finds the other."""
+    """One of the two ports of a datagram path: where the one party finds the other."""
 
-    def __init__(self, way: DatagramWay, back: bool) -> None:
-        self.way, self.back = way, back
+    def __init__(self, path: DatagramPath, back: bool) -> None:
+        self.path, self.back = path, back
         self.transport: asyncio.DatagramTransport | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.DatagramTransport, transport)
 
     def datagram_received(self, data: bytes, addr: Any) -> None:
-        self.way.came(data, self.back)
+        self.path.came(data, self.back)
 
     def error_received(self, exc: Exception) -> None:
         """A party that does not listen: its datagrams are lost, as on a network."""
 
 
-class DatagramWay:
+class DatagramPath:
     """Datagrams between two parties; each has a port here that stands for the other."""
 
     def __init__(self, name: str, near: int, far: int, seed: int, office: Office) -> None:
         self.name, self.near, self.far, self.office = name, near, far, office
         self.mouths = Mouth(self, False), Mouth(self, True)
         chances = chance(seed, f"{name}/there"), chance(seed, f"{name}/back")
-        self.courses = Datagrams(PLAIN, chances[0]), Datagrams(PLAIN, chances[1])
+        self.directions = DatagramDirection(UNIMPAIRED, chances[0]), DatagramDirection(UNIMPAIRED, chances[1])
 
     async def open(self) -> tuple[int, int]:
-        """The ports: of the far party as the near one sees it, and the other way round."""
+        """The ports: of the far party as the near one sees it, and the reverse."""
         loop, ports = asyncio.get_running_loop(), []
         for mouth in self.mouths:
             made = await loop.create_datagram_endpoint(lambda it=mouth: it, ("127.0.0.1", 0))  # type: ignore[misc]
@@ -302,7 +308,7 @@
     def came(self, data: bytes, back: bool) -> None:
         now, loop = now_us(), asyncio.get_running_loop()
         self.office.chunks += 1
-        for at, copy in self.courses[int(back)].push(now, data):
+        for at, copy in self.directions[int(back)].push(now, data):
             if at <= now:
                 self._send(copy, back)
             else:
@@ -314,29 +320,29 @@
         if transport is not None and not transport.is_closing():
             transport.sendto(data, ("127.0.0.1", self.near if back else self.far))
 
-    def turn(self, back: bool, **values: Any) -> None:
-        course = self.courses[int(back)]
-        course.terms = course.terms.changed(**values)
+    def set_conditions(self, back: bool, **values: Any) -> None:
+        direction = self.directions[int(back)]
+        direction.conditions = direction.conditions.changed(**values)
 
 
 class Command(msgspec.Struct, forbid_unknown_fields=True):
-    """One line: what is done to which ways. `terms`: those of `Terms` that change, in one direction."""
+    """One line: what is done to which paths. `conditions`: what changes, in one direction."""
 
     do: str
-    ways: list[str] = []
+    paths: list[str] = []
     target: int = 0
     near: int = 0
     back: bool = False
-    terms: dict[str, Any] = {}
+    conditions: dict[str, Any] = {}
 
 
 class Office:
-    """All ways of this process, and what it is told to do with them."""
+    """All paths of this process, and what it is told to do with them."""
 
     def __init__(self, seed: int) -> None:
         self.seed, self.chunks, self.carried = seed, 0, 0
-        self.streams: dict[str, Way] = {}
-        self.datagrams: dict[str, DatagramWay] = {}
+        self.streams: dict[str, StreamPath] = {}
+        self.datagrams: dict[str, DatagramPath] = {}
         self.lags = HdrHistogram(1, 10_000_000, 2)
         self.tasks: set[asyncio.Task[Any]] = set()
 
@@ -347,12 +353,14 @@
 
     async def obey(self, command: Command) -> dict[str, Any] | None:
         """Carries one command out; an answer where one is due."""
-        do, streams = command.do, [self.streams[name] for name in command.ways if name in self.streams]
+        do, streams = command.do, [self.streams[name] for name in command.paths if name in self.streams]
         if do == "stream":
-            way = self.streams[command.ways[0]] = Way(command.ways[0], command.target, self.seed, self)
-            return {"port": await way.open()}
+            path = self.streams[command.paths[0]] = StreamPath(
+                command.paths[0], command.target, self.seed, self
+            )
+            return {"port": await path.open()}
         if do == "datagrams":
-            made = DatagramWay(command.ways[0], command.near, command.target, self.seed, self)
+            made = DatagramPath(command.paths[0], command.near, command.target, self.seed, self)
             self.datagrams[made.name] = made
             return {"ports": await made.open()}
         if do == "stats":
@@ -361,22 +369,22 @@
                 "bytes": self.carried,
                 "cpu_s": time.process_time(),
                 "late_us": {str(p): self.lags.get_value_at_percentile(p) for p in (50, 99, 100)},
-                "joints": sum(len(way.joints) for way in self.streams.values()),
+                "joints": sum(len(path.joints) for path in self.streams.values()),
             }
-        for way in streams:
+        for path in streams:
             if do == "target":
-                way.target = command.target
+                path.target = command.target
             elif do == "open":
-                await way.open()
+                await path.open()
             elif do == "shut":
-                way.shut()
+                path.shut()
             elif do == "deaden":
-                way.deaden()
-            elif do == "turn":
-                way.turn(command.back, **command.terms)
-        for name in command.ways:
-            if do == "turn" and name in self.datagrams:
-                self.datagrams[name].turn(command.back, **command.terms)
+                path.deaden()
+            elif do == "set_conditions":
+                path.set_conditions(command.back, **command.conditions)
+        for name in command.paths:
+            if do == "set_conditions" and name in self.datagrams:
+                self.datagrams[name].set_conditions(command.back, **command.conditions)
         return None
 
     async def tick(self) -> None:
--- a/hoistplank/lab/fleet/relays.py
+++ b/hoistplank/lab/fleet/relays.py
@@ -1,4 +1,4 @@
-"""The rig's side of the relays: their processes, and the ways by name that scenes set their faults on."""
+"""The rig's side of the relays: their processes, and the paths by name that scenes set their faults on."""
 
 from __future__ import annotations
 
@@ -47,11 +47,11 @@
 
 
 class Relays:
-    """Ways over several relay processes: all that concern one dispatcher go through one of them."""
+    """Paths over several relay processes: all that concern one dispatcher go through one of them."""
 
     def __init__(self) -> None:
         self.offices: list[Office] = []
-        self.where: dict[str, Office] = {}  # by the way's name
+        self.where: dict[str, Office] = {}  # by the path's name
 
     async def start(self, many: int, seed: int) -> None:
         for _ in range(many):
@@ -68,29 +68,29 @@
             self.offices.append(Office(process))
 
     async def stream(self, name: str, target: int, shard: int) -> int:
-        """Opens a way to a port; returns the port at which the near party finds it. Raises RelayLost."""
+        """Opens a path to a port; returns the port at which the near party finds it. Raises RelayLost."""
         office = self.where[name] = self.offices[shard % len(self.offices)]
-        return int((await office.ask(do="stream", ways=[name], target=target))["port"])
+        return int((await office.ask(do="stream", paths=[name], target=target))["port"])
 
     async def datagrams(self, name: str, near: int, far: int, shard: int) -> tuple[int, int]:
-        """Opens a datagram way between two ports; returns the far one's stand-in for the near one, and the
-        other way round. Raises RelayLost."""
+        """Opens a datagram path between two ports; returns the far one's stand-in for the near one, and the
+        near one's for the far one. Raises RelayLost."""
         office = self.where[name] = self.offices[shard % len(self.offices)]
-        ports = (await office.ask(do="datagrams", ways=[name], near=near, target=far))["ports"]
+        ports = (await office.ask(do="datagrams", paths=[name], near=near, target=far))["ports"]
         return int(ports[0]), int(ports[1])
 
-    def tell(self, ways: Iterable[str], do: str, **values: Any) -> None:
-        """The same to several ways: one line for each process that has some of them."""
+    def tell(self, paths: Iterable[str], do: str, **values: Any) -> None:
+        """The same to several paths: one line for each process that has some of them."""
         by: dict[Office, list[str]] = {}
-        for name in ways:
+        for name in paths:
             if name in self.where:
                 by.setdefault(self.where[name], []).append(name)
         for office, names in by.items():
-            office.tell(do=do, ways=names, **values)
+            office.tell(do=do, paths=names, **values)
 
-    def turn(self, ways: Iterable[str], back: bool, **terms: Any) -> None:
-        """Other terms for one direction of ways; `back` is from the far party to the near one."""
-        self.tell(ways, "turn", back=back, terms=terms)
+    def set_conditions(self, paths: Iterable[str], back: bool, **conditions: Any) -> None:
+        """Other conditions for one direction of paths; `back` is from the far party to the near one."""
+        self.tell(paths, "set_conditions", back=back, conditions=conditions)
 
     async def stats(self) -> dict[str, Any]:
         """Over all processes: what was carried, processor time (s), own lateness (us). Raises RelayLost."""
--- a/hoistplank/lab/fleet/troubles.py
+++ b/hoistplank/lab/fleet/troubles.py
@@ -11,16 +11,16 @@
 from hoistplank.lab.model.world import Move, Seat, World
 from hoistplank.operator.schema import Kind
 
-Path = tuple[str, bool]  # a way's name, and whether it is the direction back to the near party
+Direction = tuple[str, bool]  # a path's name, and whether it is the direction back to the near party
 
 
 class Hands(Protocol):
     """What a drive does to paths and processes."""
 
-    def turn(self, paths: list[Path], **terms: Any) -> None:
-        """Other terms (see `ways.Terms`) for these directions."""
+    def set_conditions(self, directions: list[Direction], **conditions: Any) -> None:
+        """Other conditions (see `PathConditions`) for these directions."""
 
-    def tell(self, ways: list[str], do: str) -> None:
+    def tell(self, paths: list[str], do: str) -> None:
         """`shut`, `open` or `deaden`, both directions. Processes only."""
 
     def older(self, seat: Seat, file: str, down_us: int) -> None:
@@ -72,7 +72,7 @@
             return [one.uid for one in world.caches if one.zone == party]
         return [party]  # a host, the origin or the log
 
-    def paths(self, one: str, other: str) -> list[Path]:
+    def directions(self, one: str, other: str) -> list[Direction]:
         """The directions that lead from one party to another."""
         ours, theirs = self._dispatchers(one), self._dispatchers(other)
         if ours is not None and theirs is not None:
@@ -84,14 +84,14 @@
             return [(f"clients>d{n}", not back) for n in many]
         return [(f"d{n}>{uid}", back) for n in many for uid in self._servers(party)]
 
-    def _set(self, one: str, other: str, length: int, **terms: Any) -> None:
-        paths = self.paths(one, other)
-        self._blind([name for name, _ in paths], length)
-        self.hands.turn(paths, **terms)
-        plain = {name: False if value is True else type(value)() for name, value in terms.items()}
+    def _set(self, one: str, other: str, length: int, **conditions: Any) -> None:
+        directions = self.directions(one, other)
+        self._blind([name for name, _ in directions], length)
+        self.hands.set_conditions(directions, **conditions)
+        plain = {name: False if value is True else type(value)() for name, value in conditions.items()}
 
         def over() -> None:
-            self.hands.turn(paths, **plain)
+            self.hands.set_conditions(directions, **plain)
 
         self._later(length, over)
 
@@ -107,13 +107,13 @@
 
     def _break(self, one: str, other: str, length: int) -> None:
         self._wrong(one, other, length, f"break {one} {other}")
-        names = [name for name, _ in self.paths(one, other)]
+        names = [name for name, _ in self.directions(one, other)]
         self._blind(names, length)
         self.hands.tell(names, "shut")
         self._later(length, self.hands.tell, names, "open")
 
     def _halfway(self, one: str, other: str) -> None:
-        names = [name for name, _ in self.paths(one, other)]
+        names = [name for name, _ in self.directions(one, other)]
         self._blind(names, 1)
         self.hands.tell(names, "deaden")
 
@@ -240,7 +240,7 @@
 
 
 def sibling_paths(rows: list[Event]) -> bool:
-    """Whether a script has faults between dispatchers, so that ways between them are to be opened."""
+    """Whether a script has faults between dispatchers, so that paths between them are to be opened."""
     return any(
         row.kind in DATAGRAMS or all(str(value).startswith("d") for value in row.values[:2])
         for row in rows
--- a/hoistplank/lab/fleet/virtual.py
+++ b/hoistplank/lab/fleet/virtual.py
@@ -6,10 +6,10 @@
 from typing import Any
 
 from hoistplank.lab.drives.virtual import VirtualSeat
+from hoistplank.lab.fleet.path_conditions import UNIMPAIRED, StreamDirection, chance
 from hoistplank.lab.fleet.scene import Scene
 from hoistplank.lab.fleet.tally import Tally
-from hoistplank.lab.fleet.troubles import FleetTroubles, Path
-from hoistplank.lab.fleet.ways import PLAIN, Course, chance
+from hoistplank.lab.fleet.troubles import Direction, FleetTroubles
 from hoistplank.lab.model.world import Seat, World
 from hoistplank.lab.policies import Make
 
@@ -21,30 +21,32 @@
     """A fault that virtual time has not; scenes that name one play on processes alone."""
 
 
-class VirtualWays:
+class VirtualPaths:
     """All paths on the world's agenda. Each direction keeps its order, as one connection would."""
 
     def __init__(self, world: World) -> None:
-        self.world, self.courses = world, dict[Path, Course[Call]]()
+        self.world, self.streams = world, dict[Direction, StreamDirection[Call]]()
 
-    def _course(self, path: Path) -> Course[Call]:
-        found = self.courses.get(path)
+    def _stream(self, direction: Direction) -> StreamDirection[Call]:
+        found = self.streams.get(direction)
         if found is None:
-            name = f"{path[0]}/{'back' if path[1] else 'there'}"
-            found = self.courses[path] = Course(PLAIN, chance(self.world.streams.seed, name))
+            name = f"{direction[0]}/{'back' if direction[1] else 'there'}"
+            found = self.streams[direction] = StreamDirection(
+                UNIMPAIRED, chance(self.world.streams.seed, name)
+            )
         return found
 
     def send(self, name: str, back: bool, at: int, call: Callable[..., None], *args: Any) -> None:
-        course = self.courses.get((name, back))
-        if course is None or course.idle(at):
+        stream = self.streams.get((name, back))
+        if stream is None or stream.idle(at):
             # Nothing is set on this path, and nothing is under way there that this could overtake.
             return self.world.agenda.at(at, call, *args)
         if at > self.world.agenda.now:
             return self.world.agenda.at(at, self._arrive, (name, back), (call, args))
         self._arrive((name, back), (call, args))
 
-    def _arrive(self, path: Path, item: Call) -> None:
-        self._on(self._course(path).push(self.world.agenda.now, 1, item))
+    def _arrive(self, direction: Direction, item: Call) -> None:
+        self._on(self._stream(direction).push(self.world.agenda.now, 1, item))
 
     def _on(self, items: list[tuple[int, Call]]) -> None:
         for at, (call, args) in items:
@@ -52,12 +54,12 @@
 
     # What troubles do.
 
-    def turn(self, paths: list[Path], **terms: Any) -> None:
-        for path in paths:
-            course = self._course(path)
-            self._on(course.turned(self.world.agenda.now, course.terms.changed(**terms)))
+    def set_conditions(self, directions: list[Direction], **conditions: Any) -> None:
+        for direction in directions:
+            stream = self._stream(direction)
+            self._on(stream.set_conditions(self.world.agenda.now, stream.conditions.changed(**conditions)))
 
-    def tell(self, ways: list[str], do: str) -> None:
+    def tell(self, paths: list[str], do: str) -> None:
         raise OnlyProcesses(do)
 
     def older(self, seat: Seat, file: str, down_us: int) -> None:
@@ -91,10 +93,10 @@
     if "virtual" not in scene.drives:
         raise OnlyProcesses(scene.name)
     world = World(scene.shape(), seed)
-    ways = world.ways = VirtualWays(world)
+    paths = world.paths = VirtualPaths(world)
     zones = [number % scene.locations for number in range(scene.locations * scene.dispatchers)]
     tally = ear(world.shape, zones)
     world.seats.extend(VirtualSeat(world, number, zone, make) for number, zone in enumerate(zones))
-    FleetTroubles(world, scene.rows(), ways, tally).begin()
+    FleetTroubles(world, scene.rows(), paths, tally).begin()
     watched(world, tally)
     return world, tally
--- a/hoistplank/lab/model/faults.py
+++ b/hoistplank/lab/model/faults.py
@@ -62,7 +62,7 @@
     "spoil": (TARGET, SHARE, "for", SPAN),
     "lose": (TARGET, SHARE, "for", SPAN),  # never comes
     "refuse": (TARGET, SHARE, "for", SPAN),  # turned away though there is room
-    "cut": (WORD, WORD, "for", SPAN),  # no way between two zones
+    "cut": (WORD, WORD, "for", SPAN),  # no path between two zones
     "loglate": (TIMES, "for", SPAN),
     "logstop": ("for", SPAN),  # and tells all it held when it is back
     "loggap": ("for", SPAN),  # and comes back with a whole list
@@ -320,7 +320,7 @@
     def _refuse(self, hosts: list[Server], share: float, length: int) -> None:
         self._share("turns_away", hosts, share, length)
 
-    # Ways, log, purges.
+    # Paths, log, purges.
 
     def _cut(self, one: str, other: str, length: int) -> None:
         pair = frozenset((one, other))
--- a/hoistplank/lab/model/servers.py
+++ b/hoistplank/lab/model/servers.py
@@ -47,7 +47,7 @@
         "source",
         "started",
         "track",
-        "ways",
+        "extra_links",
         "zone",
     )
 
@@ -61,7 +61,7 @@
         self.alive, self.halves = True, 0
         self.found = (0, -1)  # note and birth of what a fill brought
         self.flows: list[tuple[Link, Flow]] = []
-        self.ways: list[Link] = []  # links beside the server's own that the answer takes
+        self.extra_links: list[Link] = []  # links beside the server's own that the answer takes
         self.started: Callable[[], None] | None = None  # told when the answer begins to flow
         self.back = 0  # how long the answer is under way
 
@@ -188,10 +188,10 @@
         raise NotImplementedError
 
     def send(self, ask: Ask, size_us: float, note: int, born: int) -> None:
-        """Lets an answer flow out, over the links of its way as well; the slowest decides."""
+        """Lets an answer flow out, over its extra links as well; the slowest decides."""
         if ask.started is not None:
             ask.started()
-        links = [self.link, *ask.ways]
+        links = [self.link, *ask.extra_links]
         ask.halves += len(links)
         for link in links:
             ask.flows.append((link, link.begin(size_us, self._flowed, ask, note, born, self.life)))
@@ -370,7 +370,7 @@
         if ask.alive and ask in self.open:
             if ask.started is not None:
                 ask.started()
-            for link in (self.link, *ask.ways):
+            for link in (self.link, *ask.extra_links):
                 ask.halves += 1
                 ask.flows.append((link, link.begin(ask.size_us, self._half, ask, self.life)))
 
@@ -396,7 +396,7 @@
         asked.source, asked.oldest_us, asked.join = self.world.origin.uid, fill.oldest_us, True
         asked.back, asked.started, asked.keep = shape.far_us, began, 2
         if self.kind == BOX:
-            asked.ways = [self.world.zone_links[first.zone]]
+            asked.extra_links = [self.world.zone_links[first.zone]]
         fill.ask = asked
         source = self.world.servers.get(fill.source)
         if source is None:
@@ -480,5 +480,5 @@
         raise NotImplementedError
 
     def cut(self, one: str, other: str) -> bool:
-        """Whether the way between two zones is cut."""
+        """Whether the path between two zones is cut."""
         raise NotImplementedError
--- a/hoistplank/lab/model/world.py
+++ b/hoistplank/lab/model/world.py
@@ -53,7 +53,7 @@
         """Its process stands still for so long, and goes on as if nothing were."""
 
 
-class Ways(Protocol):
+class Paths(Protocol):
     """The paths between parties, in virtual time; on sockets the relays stand there themselves."""
 
     def send(self, name: str, back: bool, at: int, call: Callable[..., None], *args: Any) -> None:
@@ -85,14 +85,14 @@
         now = self.world.agenda.now
         at = max(self.last.get(seat.number, 0), now + int(self.late * self.chance.between(low, high)))
         self.last[seat.number] = at
-        if self.world.ways is None:
+        if self.world.paths is None:
             self.world.agenda.at(at, self._reach, seat, what)
         else:
             self.world.agenda.at(at, self._over, seat, what)
 
     def _over(self, seat: Seat, what: Callable[[Seat], None]) -> None:
-        assert self.world.ways is not None
-        self.world.ways.send(f"d{seat.number}>log", True, self.world.agenda.now, self._reach, seat, what)
+        assert self.world.paths is not None
+        self.world.paths.send(f"d{seat.number}>log", True, self.world.agenda.now, self._reach, seat, what)
 
     def _reach(self, seat: Seat, what: Callable[[Seat], None]) -> None:
         if seat.alive:
@@ -149,7 +149,7 @@
         self.clients = Clients(self.agenda, shape, self.streams, self.library, self.front)
         self.log = ChangeLog(self)
         self.cuts: set[frozenset[str]] = set()
-        self.ways: Ways | None = None
+        self.paths: Paths | None = None
         self.happened: list[tuple[int, str]] = []
         # Who is watched for reports, and by second how full its link was.
         self.watched = [*self.caches[:WATCHED], *self.parents[:4], self.origin]
@@ -351,14 +351,14 @@
         visit.seat = seat.number
         # The deadline that a dispatcher is given is the track's, less what earlier tries took.
         until = visit.asked_at + self.world.shape.tracks[visit.track].deadline_us
-        now, ways = self.world.agenda.now, self.world.ways
+        now, paths = self.world.agenda.now, self.world.paths
         self.world.truth.answers.took(now, seat.number, visit.id, until)
         if self.world.clients.ear is not None:
             self.world.clients.ear.tried(now, visit)
-        if ways is None:
+        if paths is None:
             seat.take(visit)
         else:
-            ways.send(f"clients>d{seat.number}", False, now, seat.take, visit)
+            paths.send(f"clients>d{seat.number}", False, now, seat.take, visit)
         return True
 
     def _zone_of(self, visit: Visit) -> int:
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -21,10 +21,16 @@
 
 from hoistplank.cli.main import main
 from hoistplank.lab.fleet import broken, processes, runner, virtual, work
+from hoistplank.lab.fleet.path_conditions import (
+    UNIMPAIRED,
+    DatagramDirection,
+    PathConditions,
+    StreamDirection,
+    chance,
+)
 from hoistplank.lab.fleet.relays import Relays
 from hoistplank.lab.fleet.scene import Scene, lasts, read
 from hoistplank.lab.fleet.tally import Shared, Tally, jain
-from hoistplank.lab.fleet.ways import PLAIN, Course, Datagrams, Terms, chance
 from hoistplank.lab.fleet.work import Job, told
 from hoistplank.lab.model.shape import S
 from hoistplank.lab.policies import policy
@@ -37,55 +43,67 @@
 # Paths.
 
 SPANS = st.integers(0, 300_000)
-TERMS = st.builds(
-    Terms, delay_us=SPANS, spread_us=SPANS, rate=st.sampled_from([0.0, 1e4, 1e6]), silent=st.booleans()
+CONDITIONS = st.builds(
+    PathConditions,
+    delay_us=SPANS,
+    spread_us=SPANS,
+    rate=st.sampled_from([0.0, 1e4, 1e6]),
+    silent=st.booleans(),
 )
 
 
-STEPS = st.lists(st.tuples(st.integers(0, 200_000), st.integers(0, 5_000), TERMS), max_size=30)
+STEPS = st.lists(st.tuples(st.integers(0, 200_000), st.integers(0, 5_000), CONDITIONS), max_size=30)
 
 
 @given(STEPS, st.integers(0, 99))
 def test_a_stream_keeps_its_order_and_loses_nothing_whatever_the_terms(
-    steps: list[tuple[int, int, Terms]], seed: int
+    steps: list[tuple[int, int, PathConditions]], seed: int
 ) -> None:
-    course, now, came = Course[int](PLAIN, chance(seed, "a>b")), 0, list[tuple[int, int]]()
-    for n, (wait, size, terms) in enumerate(steps):
+    stream, now, came = StreamDirection[int](UNIMPAIRED, chance(seed, "a>b")), 0, list[tuple[int, int]]()
+    for n, (wait, size, conditions) in enumerate(steps):
         now += wait
-        came += course.turned(now, terms)
-        came += course.push(now, size, n)
-    came += course.turned(now + 1, PLAIN)
-    assert [item for _, item in came] == list(range(len(steps))) and course.held() == 0
+        came += stream.set_conditions(now, conditions)
+        came += stream.push(now, size, n)
+    came += stream.set_conditions(now + 1, UNIMPAIRED)
+    assert [item for _, item in came] == list(range(len(steps))) and stream.held() == 0
     times = [at for at, _ in came]
     assert times == sorted(times)
 
 
 def test_a_rate_bounds_a_stream_and_a_silence_holds_it() -> None:
-    course = Course[str](Terms(rate=1e6), chance(1, "a>b"))
-    assert course.push(0, 500_000, "a") == [(500_000, "a")]
-    assert course.push(0, 500_000, "b") == [(1_000_000, "b")]
-    course.turned(1_000_000, Terms(silent=True))
-    assert course.push(1_200_000, 7, "c") == [] and course.held() == 7
-    assert course.turned(3_000_000, PLAIN) == [(3_000_000, "c")]
+    stream = StreamDirection[str](PathConditions(rate=1e6), chance(1, "a>b"))
+    assert stream.push(0, 500_000, "a") == [(500_000, "a")]
+    assert stream.push(0, 500_000, "b") == [(1_000_000, "b")]
+    stream.set_conditions(1_000_000, PathConditions(silent=True))
+    assert stream.push(1_200_000, 7, "c") == [] and stream.held() == 7
+    assert stream.set_conditions(3_000_000, UNIMPAIRED) == [(3_000_000, "c")]
 
 
 def test_datagrams_are_lost_doubled_late_and_changed_by_their_shares_and_their_seed() -> None:
-    def played(terms: Terms, seed: int = 1) -> list[tuple[int, bytes]]:
-        way = Datagrams(terms, chance(seed, "d0~d1/there"))
-        return [pair for n in range(2_000) for pair in way.push(n, n.to_bytes(4, "big"))]
+    def played(conditions: PathConditions, seed: int = 1) -> list[tuple[int, bytes]]:
+        direction = DatagramDirection(conditions, chance(seed, "d0~d1/there"))
+        return [pair for n in range(2_000) for pair in direction.push(n, n.to_bytes(4, "big"))]
 
-    assert len(played(Terms(loss=0.4))) == pytest.approx(1_200, abs=80)
-    assert len(played(Terms(double=0.3))) == pytest.approx(2_600, abs=80)
-    late = [at for at, data in played(Terms(tardy=0.2, tardy_us=2 * S)) if at >= 2 * S]
+    assert len(played(PathConditions(loss=0.4))) == pytest.approx(1_200, abs=80)
+    assert len(played(PathConditions(double=0.3))) == pytest.approx(2_600, abs=80)
+    late = [at for at, data in played(PathConditions(tardy=0.2, tardy_us=2 * S)) if at >= 2 * S]
     assert len(late) == pytest.approx(400, abs=60)
-    changed = [data for n, (_, data) in enumerate(played(Terms(flip=0.5))) if data != n.to_bytes(4, "big")]
+    changed = [
+        data for n, (_, data) in enumerate(played(PathConditions(flip=0.5))) if data != n.to_bytes(4, "big")
+    ]
     assert len(changed) == pytest.approx(1_000, abs=80) and all(len(data) == 4 for data in changed)
-    jumbled = played(Terms(jumble=0.5, jumble_us=1_000))
+    jumbled = played(PathConditions(jumble=0.5, jumble_us=1_000))
     assert [at for at, _ in jumbled] != sorted(at for at, _ in jumbled)
-    assert played(Terms(silent=True)) == []
-    assert played(Terms(loss=0.4)) == played(Terms(loss=0.4)) != played(Terms(loss=0.4), 2)
+    assert played(PathConditions(silent=True)) == []
+    assert (
+        played(PathConditions(loss=0.4))
+        == played(PathConditions(loss=0.4))
+        != played(PathConditions(loss=0.4), 2)
+    )
     # Another share leaves all other draws as they were: the same ones are lost.
-    first, second = (({data for _, data in played(Terms(loss=0.2, double=share))}) for share in (0.0, 0.9))
+    first, second = (
+        ({data for _, data in played(PathConditions(loss=0.2, double=share))}) for share in (0.0, 0.9)
+    )
     assert first == second
 
 
@@ -138,13 +156,14 @@
         reader, writer = await opened(port)
         writer.write(b"one")
         assert await reader.readexactly(3) == b"one"
-        relays.turn(["d0>c0-0"], True, silent=True)  # what goes there is heard, what comes back is not
+        # What goes there is heard, what comes back is not.
+        relays.set_conditions(["d0>c0-0"], True, silent=True)
         await relays.stats()
         writer.write(b"two")
         assert await silent(reader)
-        relays.turn(["d0>c0-0"], True, silent=False)
+        relays.set_conditions(["d0>c0-0"], True, silent=False)
         assert await reader.readexactly(3) == b"two"
-        relays.turn(["d0>c0-0"], False, delay_us=200_000)
+        relays.set_conditions(["d0>c0-0"], False, delay_us=200_000)
         await relays.stats()
         began = time.monotonic()
         writer.write(b"six")
@@ -206,7 +225,7 @@
         reader, writer = await opened(port)
         writer.write(b"x")
         assert await reader.readexactly(1) == b"k"
-        relays.turn(["d0>c0-2"], False, delay_us=300_000)
+        relays.set_conditions(["d0>c0-2"], False, delay_us=300_000)
         await relays.stats()
         writer.write(b"held")
         child.kill()
@@ -252,7 +271,7 @@
         data, sender = await loop.sock_recvfrom(other, 100)
         # It comes from where the receiver knows the sender: an answer finds its way.
         assert data == b"hello" and sender[1] == ports[1]
-        relays.turn(["d0~d1"], True, loss=1.0)
+        relays.set_conditions(["d0~d1"], True, loss=1.0)
         await relays.stats()
         await loop.sock_sendto(other, b"lost", ("127.0.0.1", ports[1]))
         await loop.sock_sendto(one, b"there", ("127.0.0.1", ports[0]))
@@ -270,16 +289,16 @@
         port = await relays.stream("d0>c0-0", server, 0)
         reader, writer = await opened(port)
         sent = b"".join(n.to_bytes(4, "big") for n in range(3_000))
-        relays.turn(["d0>c0-0"], False, delay_us=900, spread_us=2_500)
-        relays.turn(["d0>c0-0"], True, spread_us=1_700)
+        relays.set_conditions(["d0>c0-0"], False, delay_us=900, spread_us=2_500)
+        relays.set_conditions(["d0>c0-0"], True, spread_us=1_700)
         for at in range(0, len(sent), 12):
             writer.write(sent[at : at + 12])
             if at % 60 == 0:
                 await asyncio.sleep(0.0007)
             if at == 6_000:
                 # What still waits out its delay must not be overtaken once nothing is set any more.
-                relays.turn(["d0>c0-0"], False, delay_us=0, spread_us=0)
-                relays.turn(["d0>c0-0"], True, spread_us=0)
+                relays.set_conditions(["d0>c0-0"], False, delay_us=0, spread_us=0)
+                relays.set_conditions(["d0>c0-0"], True, spread_us=0)
         assert await asyncio.wait_for(reader.readexactly(len(sent)), 10) == sent
 
     relayed(scene)
@@ -288,7 +307,7 @@
 def test_a_party_that_stands_still_stops_its_sender_and_loses_nothing() -> None:
     async def scene(relays: Relays, server: int) -> None:
         port = await relays.stream("d0>c0-0", server, 0)
-        relays.turn(["d0>c0-0"], True, silent=True)
+        relays.set_conditions(["d0>c0-0"], True, silent=True)
         await relays.stats()
         reader, writer = await opened(port)
         sent = Random(3).randbytes(40_000_000)
@@ -301,7 +320,7 @@
         sending = asyncio.ensure_future(send())
         await asyncio.wait([sending], timeout=0.5)
         assert not sending.done()  # the relay holds some of it and reads no more
-        relays.turn(["d0>c0-0"], True, silent=False)
+        relays.set_conditions(["d0>c0-0"], True, silent=False)
         assert await asyncio.wait_for(reader.readexactly(len(sent)), 10) == sent
         await sending
 
