--- a/hoistplank/lab/fleet/path_conditions.py
+++ b/hoistplank/lab/fleet/path_conditions.py
@@ -2,8 +2,8 @@
 
 A `StreamDirection` belongs to one direction of one connection, a `DatagramDirection` to one of a datagram
 path; the `PathConditions` they read belong to that direction of the whole path and are changed by a scene
-while bytes are under way. The relays carry out on sockets what they say; virtual time does the same on its agenda.
-Times are whole microseconds.
+while bytes are under way. The relays carry out on sockets what they say; virtual time does the same on its
+agenda. Times are whole microseconds.
 """
 
 from __future__ import annotations
