Service in place of Desk: callers, levels and membership name what runs them alike

Need: callers/desk.py, levels/desk.py and membership/desk.py carry out their subsystem's decisions in a process, each class under another name (Desk, Levels, Membership); xds has service.py for the same. No change of behaviour.

--- a/hoistplank/callers/control.py
+++ b/hoistplank/callers/control.py
@@ -77,7 +77,7 @@
         self.waiting: deque[Request] = deque()
         self.worker: asyncio.Task[None] | None = None
         self.leaving, self.ending = False, False
-        make = control.desk.secured(sock, self._told, lambda: None)
+        make = control.callers.secured(sock, self._told, lambda: None)
         self.connection = make(sock, self.consume, MOST_IN, MOST_OUT)
         self.born = asyncio.get_running_loop().time()
         self.task = asyncio.get_running_loop().create_task(self.connection.run(), name="control connection")
@@ -137,7 +137,7 @@
 
 
 class Keys(Protocol):
-    """What it uses of the callers' desk, which stands above it."""
+    """What it uses of the callers' service, which stands above it."""
 
     section: Section
     gate: Gate
@@ -154,8 +154,8 @@
 
 
 class Control:
-    def __init__(self, desk: Keys, section: Section, host: Program) -> None:
-        self.desk, self.section, self.host = desk, section, host
+    def __init__(self, callers: Keys, section: Section, host: Program) -> None:
+        self.callers, self.section, self.host = callers, section, host
         self.visitors: dict[Visitor, None] = {}
         self.purges: dict[str, Bucket] = {}
         self.listener = Listener(section["listen"], host.ledger, self._greet)
@@ -185,7 +185,7 @@
         loop = asyncio.get_running_loop()
         while True:
             await asyncio.sleep(0.25)
-            handshake_s = self.desk.section["tls"]["handshake-time"] / 1e6
+            handshake_s = self.callers.section["tls"]["handshake-time"] / 1e6
             for visitor in list(self.visitors):
                 unknown = visitor.identity is None and loop.time() - visitor.born > handshake_s
                 if unknown or loop.time() - visitor.connection.heard_at > SILENT_S:
@@ -195,14 +195,14 @@
 
     def strike(self) -> None:
         for visitor in list(self.visitors):
-            if visitor.identity is not None and self.desk.gate.certificate(visitor.identity) is not None:
+            if visitor.identity is not None and self.callers.gate.certificate(visitor.identity) is not None:
                 visitor.leave()
 
     async def answer(self, identity: Identity | None, request: Request) -> Answer:
         """What an operator is answered; nothing that it sends ends more than its own connection."""
         if identity is None:
             return refused(401, "no client certificate")
-        caller = self.desk.gate.operator(identity)
+        caller = self.callers.gate.operator(identity)
         if isinstance(caller, Refusal):
             return refused(caller.status, caller.cause, caller.wait_us)
         look = self.routes.get((request.method, request.path))
@@ -229,13 +229,13 @@
             return refused(400, "'object' is to have 16 small hex digits")
         if body.group is not None and not 0 <= body.group <= 255:
             return refused(400, "'group' is to be from 0 to 255")
-        refusal = self.desk.gate.may_purge(caller, body.object, body.group)
+        refusal = self.callers.gate.may_purge(caller, body.object, body.group)
         if refusal is not None:
             return refused(refusal.status, refusal.cause)
-        now = self.desk.clock.now()
+        now = self.callers.clock.now()
         if len(self.purges) > 1_024:
             self.purges = {
-                name: row for name, row in self.purges.items() if name in self.desk.gate.tenants.rows
+                name: row for name, row in self.purges.items() if name in self.callers.gate.tenants.rows
             }
         bucket = self.purges.setdefault(caller.tenant.name, Bucket(PURGES_A_SECOND, PURGES_AT_ONCE, now))
         wait = bucket.take(now)
@@ -256,12 +256,13 @@
             return refused(403, "right")
         try:
             row = Revocation(body.kind, body.issuer, body.value, body.until_us)
-            self.desk.revoke(row)
+            self.callers.revoke(row)
         except BadRevocation as wrong:
             return refused(400, str(wrong))
-        kept = await self.desk.keep(row)
+        kept = await self.callers.keep(row)
         return Answer(
-            200, {"revoked": row.kind, "generation": self.desk.gate.revoked.generation, "kept": kept or "yes"}
+            200,
+            {"revoked": row.kind, "generation": self.callers.gate.revoked.generation, "kept": kept or "yes"},
         )
 
     def _level_word(self, caller: Caller, body: LevelBody) -> Answer:
@@ -273,7 +274,9 @@
         if not 0 <= body.for_s <= 86_400:
             return refused(400, "'for_s' is to be from 0 to 86400")
         try:
-            done = levels.word(self.desk.clock.now(), body.do, body.level, int(body.for_s * 1e6), caller.name)
+            done = levels.word(
+                self.callers.clock.now(), body.do, body.level, int(body.for_s * 1e6), caller.name
+            )
         except ValueError as wrong:
             return refused(400, str(wrong))
         return Answer(200, {"done": done, "level": levels.ladder.name})
@@ -282,17 +285,17 @@
         levels = getattr(self.host, "levels", None)
         if levels is None:
             return {"level": "full", "levels": None}
-        found: dict[str, Any] = levels.look(self.desk.clock.now())
+        found: dict[str, Any] = levels.look(self.callers.clock.now())
         return found
 
     # What may be looked at: an operator sees all, a tenant itself.
 
     def _seen(self, tenant: Tenant) -> list[Tenant]:
-        rows = self.desk.gate.tenants.rows
+        rows = self.callers.gate.tenants.rows
         return list(rows.values()) if tenant.rights & OPERATE else [tenant]
 
     def _tenants(self, tenant: Tenant) -> dict[str, Any]:
-        gate = self.desk.gate
+        gate = self.callers.gate
         return {
             "generation": gate.tenants.generation,
             "tenants": [
@@ -308,14 +311,14 @@
         }
 
     def _keys(self, tenant: Tenant) -> dict[str, Any]:
-        gate = self.desk.gate
+        gate = self.callers.gate
         return {
             "issuers": [
                 {"name": issuer.name, "generation": issuer.generation, "keys": sorted(issuer.keys)}
                 for issuer in gate.issuers.values()
             ],
             "revocations": {"generation": gate.revoked.generation, "rows": len(gate.revoked)},
-            "handshakes": self.desk.handshakes,
+            "handshakes": self.callers.handshakes,
         }
 
     def _refusals(self, tenant: Tenant) -> dict[str, Any]:
@@ -323,13 +326,13 @@
         return {
             "refusals": [
                 {"tenant": name, "cause": cause, "count": count}
-                for (name, cause), count in sorted(self.desk.gate.counts.items())
+                for (name, cause), count in sorted(self.callers.gate.counts.items())
                 if name in seen
             ]
         }
 
     def _limits(self, tenant: Tenant) -> dict[str, Any]:
-        gate, now = self.desk.gate, self.desk.clock.now()
+        gate, now = self.callers.gate, self.callers.clock.now()
         out = []
         for row in self._seen(tenant):
             account = gate.accounts.rows.get(row.name)
--- a/hoistplank/callers/desk.py
+++ b/hoistplank/callers/service.py
@@ -1,5 +1,5 @@
-"""Carries the gate out: reads its files, watches them, serves the TLS listener and the control front beside
-the plain one."""
+"""Runs the checks of callers in a dispatcher: reads and watches the files that they need, and serves the TLS
+listener and the control interface beside the plain listener."""
 
 from __future__ import annotations
 
@@ -40,7 +40,7 @@
 
 
 class Host(Protocol):
-    """What the desk uses of the program that it is part of."""
+    """What the service uses of the program that it is part of."""
 
     owner: Owner
     front: Front
@@ -71,7 +71,7 @@
         return tuple(out)
 
 
-class Desk:
+class CallersService:
     """One for the program. Raises Faults where the files that the section names can't be used."""
 
     def __init__(self, section: Section, file: str, site: Site, clock: Clock | None = None) -> None:
@@ -236,7 +236,7 @@
             if (self.section[form] is None) != (section[form] is None):
                 found = f"'({form} …)' that comes or goes while the program runs"
                 raise Faults([Fault(section.at(form), found, "it as it was at the start")])
-        fresh = Desk(section, self.file, self.site, self.clock)
+        fresh = CallersService(section, self.file, self.site, self.clock)
 
         def take() -> None:
             now = self.clock.now()
--- a/hoistplank/levels/desk.py
+++ b/hoistplank/levels/service.py
@@ -1,5 +1,5 @@
-"""The levels of the operator's file at work in a dispatcher: readings taken, the ladder judged every period,
-the Router told through the owner's queue, each change logged with its reason and its cost."""
+"""Runs the levels of the operator's file in a dispatcher: takes the readings, evaluates the ladder every
+period, tells the Router through the owner's queue, and logs each change with its reason and its cost."""
 
 from __future__ import annotations
 
@@ -53,7 +53,7 @@
     return pages * PAGE / (memory_mb << 20)
 
 
-class Levels:
+class LevelsService:
     """Made before anything listens; `attach` sets its parts to work beside the program's own."""
 
     def __init__(self, section: Section, file: str, configuration: Configuration) -> None:
--- a/hoistplank/membership/__init__.py
+++ b/hoistplank/membership/__init__.py
@@ -1,3 +1,4 @@
-"""Which cache hosts there are, from whose word, and how far that word goes. Judgement: `ages`, `roster`.
-Carrying
-out: `desk`."""
+"""Which cache hosts there are while the change log is silent, from which source, and how far it is trusted.
+
+Decisions, without I/O or clock: `ages`, `roster`. Carrying out: `service`.
+"""
--- a/hoistplank/membership/desk.py
+++ b/hoistplank/membership/service.py
@@ -1,5 +1,5 @@
-"""Carries the roster out: hears the change log, keeps its list, feels hosts out while it is silent, tells the
-owner."""
+"""Runs the roster in a dispatcher: follows the change log, stores its list, probes hosts while the log is
+silent, and tells the owner."""
 
 from __future__ import annotations
 
@@ -76,7 +76,7 @@
     )
 
 
-class Membership:
+class MembershipService:
     """One for the program. Raises Faults where its own name can't be reached; a folder that fails costs
     freshness."""
 
--- a/hoistplank/program/additions.py
+++ b/hoistplank/program/additions.py
@@ -12,8 +12,8 @@
 from hoistplank.program.service import Addition
 
 if TYPE_CHECKING:
-    from hoistplank.callers.desk import Desk
-    from hoistplank.levels.desk import Levels
+    from hoistplank.callers.service import CallersService
+    from hoistplank.levels.service import LevelsService
 
 MAIN = ("callers", "membership", "levels")
 
@@ -24,23 +24,23 @@
     def __init__(self, file: str, configuration: Configuration, section: Section) -> None:
         self.file, self.configuration, self.section = file, configuration, section
         self.form: str = section["log"]["format"]
-        self.doorkeeper: Desk | None = None
+        self.doorkeeper: CallersService | None = None
         self.each: list[Addition] = []
-        self.levels: Levels | None = None
+        self.levels: LevelsService | None = None
         if section["callers"] is not None:
-            from hoistplank.callers.desk import Desk
+            from hoistplank.callers.service import CallersService
 
             _tracks_known(section["callers"], configuration)
-            self.doorkeeper = Desk(section["callers"], file, configuration.site)
+            self.doorkeeper = CallersService(section["callers"], file, configuration.site)
             self.each.append(self.doorkeeper)
         if section["membership"] is not None:
-            from hoistplank.membership.desk import Membership
+            from hoistplank.membership.service import MembershipService
 
-            self.each.append(Membership(section["membership"], file, configuration))
+            self.each.append(MembershipService(section["membership"], file, configuration))
         if section["levels"] is not None:
-            from hoistplank.levels.desk import Levels
+            from hoistplank.levels.service import LevelsService
 
-            self.levels = Levels(section["levels"], file, configuration)
+            self.levels = LevelsService(section["levels"], file, configuration)
             self.each.append(self.levels)
 
     def read_again(self) -> Callable[[], None]:
--- a/tests/test_callers_service.py
+++ b/tests/test_callers_service.py
@@ -19,8 +19,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from hoistplank.callers.desk import Desk
 from hoistplank.callers.http import BadRequest, Reader
+from hoistplank.callers.service import CallersService
 from hoistplank.operator.faults import Faults
 from hoistplank.program.forms import load
 from hoistplank.program.service import Phase
@@ -69,7 +69,7 @@
         await self.running.__aenter__()
         await until(lambda: self.running.service.phase is Phase.SERVING)
         assert self.running.additions is not None and self.running.additions.doorkeeper is not None
-        self.desk = self.running.additions.doorkeeper
+        self.callers = self.running.additions.doorkeeper
         return self
 
     async def __aexit__(self, *words: object) -> None:
@@ -132,9 +132,9 @@
             assert await place.ask(OLD.token("coast-1"), group=40) == (403, "group")
             assert await place.ask("rubbish") == (401, "token form")
             assert await place.ask(NEW.token("coast-1", header={"alg": "none"})) == (401, "token alg")
-            assert place.box.seen == [] and place.desk.gate.accounts.total == 0
+            assert place.box.seen == [] and place.callers.gate.accounts.total == 0
             assert await place.ask(OLD.token("coast-1")) == (200, "")
-            assert len(place.box.seen) == 1 and place.desk.gate.accounts.total == 0
+            assert len(place.box.seen) == 1 and place.callers.gate.accounts.total == 0
 
     run(scene())
 
@@ -167,14 +167,14 @@
             told = await place.ask(NEW.token("coast-1"))
             assert told == (503, "key not known yet")
             write_keys(tmp_path / "ring.json", OLD.jwk("verifying"), NEW.jwk())
-            await until(lambda: "k2" in place.desk.gate.issuers["https://id.example"].keys)
+            await until(lambda: "k2" in place.callers.gate.issuers["https://id.example"].keys)
             assert await place.ask(NEW.token("coast-1")) == (200, "")
             assert await place.ask(OLD.token("coast-2")) == (200, "")
             write_keys(tmp_path / "ring.json", OLD.jwk("retired"), NEW.jwk())
-            await until(lambda: "k1" not in place.desk.gate.issuers["https://id.example"].keys)
+            await until(lambda: "k1" not in place.callers.gate.issuers["https://id.example"].keys)
             assert await place.ask(OLD.token("coast-2")) == (401, "token key")
             # The first visit is still out: its key's end does not strike it.
-            assert place.desk.gate.accounts.total == 1
+            assert place.callers.gate.accounts.total == 1
             released.set()
             number, status, _, _ = await client.answer()
             assert (number, status) == (9, 200)
@@ -194,14 +194,14 @@
             spoils["two alike"] = lambda: write_keys(file, row, row)
             spoils["private"] = lambda: write_keys(file, row | {"d": "A"})
             spoils[spoil]()
-            await until(lambda: any(source.bad for source in place.desk.sources))
+            await until(lambda: any(source.bad for source in place.callers.sources))
             assert await place.ask(OLD.token("coast-1")) == (200, "")
             assert await place.ask(NEW.token("coast-1")) == (503, "key not known yet")
             place.running.service.renewed.set()  # a reload with it changes nothing either
             await asyncio.sleep(0.05)
             assert await place.ask(OLD.token("coast-3")) == (200, "")
             write_keys(file, OLD.jwk(), NEW.jwk())
-            await until(lambda: not any(source.bad for source in place.desk.sources))
+            await until(lambda: not any(source.bad for source in place.callers.sources))
             assert await place.ask(NEW.token("coast-1")) == (200, "")
 
     run(scene())
@@ -228,7 +228,7 @@
     Known(tmp_path)
     change(tmp_path)
     with pytest.raises(Faults) as caught:
-        Desk(
+        CallersService(
             load(str(tmp_path / "op.sexp"))["callers"],
             str(tmp_path / "op.sexp"),
             configuration(tmp_path).site,
@@ -248,12 +248,12 @@
             assert await place.ask(OLD.token("inland-1"), client, 40) == (403, "token of another tenant")
             assert await place.ask(client=await place.secure(both)) == (401, "two tenants")
             assert await place.ask(OLD.token("coast-1"), await place.secure()) == (200, "")
-            before = place.desk.tls
+            before = place.callers.tls
             place.authority.server()
-            await until(lambda: place.desk.tls is not before)
+            await until(lambda: place.callers.tls is not before)
             assert await place.ask(client=client) == (200, "")  # the kept connection goes on
             assert await place.ask(client=await place.secure(coast)) == (200, "")
-            assert place.desk.shaking == {}
+            assert place.callers.shaking == {}
 
     run(scene())
 
@@ -296,7 +296,7 @@
             )
             (tmp_path / "op.sexp").write_text(text)
             place.running.service.renewed.set()
-            await until(lambda: place.desk.generation == 2)
+            await until(lambda: place.callers.generation == 2)
             leaf, serial = place.authority.leaf("coast.pem", ["uri:hoistplank:coast"])
             context = place.authority.context(leaf)
             context.maximum_version = version
@@ -344,12 +344,12 @@
             client = await place.secure(leaf)
             assert await place.ask(client=client) == (200, "")
             place.authority.crl([], lasts_s=-5)  # an expired one is not taken up: the one in force stays
-            await until(lambda: any(source.bad for source in place.desk.sources))
+            await until(lambda: any(source.bad for source in place.callers.sources))
             assert await place.ask(client=await place.secure(leaf)) == (200, "")
             # Long enough to be taken up on a machine that has other work, too.
             place.authority.crl([], lasts_s=4)
             ends = time.monotonic() + 4.1
-            await until(lambda: not any(source.bad for source in place.desk.sources))
+            await until(lambda: not any(source.bad for source in place.callers.sources))
             await asyncio.sleep(ends - time.monotonic())
             assert await place.ask(client=client) == (200, "")
             with pytest.raises((OSError, asyncio.IncompleteReadError)):
@@ -367,15 +367,15 @@
                 text.replace('(key "server.key")', '(key "server.key") (handshakes 4)')
             )
             place.running.service.renewed.set()
-            await until(lambda: place.desk.generation == 2)
+            await until(lambda: place.callers.generation == 2)
             rest = [await asyncio.open_connection("127.0.0.1", place.tls) for _ in range(20)]
             for _, writer in rest[10:]:
                 writer.write(b"\x16\x03\x01\x02")
-            await until(lambda: place.desk.handshakes["given up"] == 16)
-            assert len(place.desk.shaking) == 4
+            await until(lambda: place.callers.handshakes["given up"] == 16)
+            assert len(place.callers.shaking) == 4
             assert await place.ask(OLD.token("coast-1"), await place.secure()) == (200, "")
             began = time.monotonic()
-            await until(lambda: not place.desk.shaking)
+            await until(lambda: not place.callers.shaking)
             assert time.monotonic() - began < 2.5
             for nonsense in (
                 b"GET / HTTP/1.1\r\n\r\n",
@@ -402,7 +402,7 @@
             (tmp_path / "op.sexp").write_text(good + "(log (format loud))")
             place.running.service.renewed.set()
             await asyncio.sleep(0.05)
-            assert place.desk.generation == 1 and await place.ask(OLD.token("coast-1")) == (200, "")
+            assert place.callers.generation == 1 and await place.ask(OLD.token("coast-1")) == (200, "")
             place.operator(extra="(control (listen 127.0.0.1:1))")
             # A form twice, and a listener that can't go: nothing of either is taken.
             place.running.service.renewed.set()
@@ -412,13 +412,13 @@
             )
             place.running.service.renewed.set()
             await asyncio.sleep(0.05)
-            assert place.desk.generation == 1
+            assert place.callers.generation == 1
             place.operator(
                 tenants='(tenant inland (subjects "https://id.example" (names inland-*)) (rights read)'
                 " (rate 1/s) (burst 2))"
             )
             place.running.service.renewed.set()
-            await until(lambda: place.desk.generation == 2)
+            await until(lambda: place.callers.generation == 2)
             assert await place.ask(OLD.token("coast-1")) == (403, "no tenant")
             told = [await place.ask(OLD.token("inland-1"), group=200) for _ in range(3)]
             assert told == [(200, ""), (200, ""), (429, "rate")]
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -17,8 +17,8 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
 from hoistplank.membership import ages
-from hoistplank.membership.desk import Membership
 from hoistplank.membership.roster import MOVES, TOLD, Roster
+from hoistplank.membership.service import MembershipService
 from hoistplank.program.service import Phase
 from hoistplank.standins.settings import listing, target
 from hoistplank.standins.wire import CacheHost, serve
@@ -167,9 +167,9 @@
     return f"{id} served detail=hit,digest=aa,dated=1 4\r\nwell\r\n".encode()
 
 
-def membership(running: Running) -> Membership:
+def membership(running: Running) -> MembershipService:
     watch = running.service.listing.watch
-    assert isinstance(watch, Membership)
+    assert isinstance(watch, MembershipService)
     return watch
 
 
