Purge floors: bounded at any order of purges, and kept from when a purge was told

A floor was dropped by the purge's own time: one heard an hour late was gone in the turn in which it was heard (no floor stood after it). The xDS service dropped a late purge in the same call, so that no follower ever heard of it, and looked at all of them at each purge.

--- a/hoistplank/choice.py
+++ b/hoistplank/choice.py
@@ -30,6 +30,8 @@
 FAILED_THERE = frozenset((Result.FULL, Result.NO_CONNECTION, Result.LATE))
 # Notes by which the source failed, not the cache host that tells of it.
 SOURCE_FAILED = frozenset((Note.SOURCE_REFUSED, Note.SOURCE_LOST, Note.SOURCE_LACKS, Note.ORIGIN_LOST))
+MOST_FLOORS = 16_384  # an hour's purges of the largest fleet, all told at once, are 14,000
+ALL_OBJECTS = ""  # the key of the floor under all objects: none has this name
 
 
 class Track:
@@ -109,7 +111,8 @@
         self.caches, self.parents, self.origin = list[int](), list[int](), -1
         self.listed_once, self.listing, self.silence_check, self.filled_at = False, 0, 0, 0
         self.blind, self.reduced, self.tries = False, Reduced(), dict[str | int, tuple[float, float, int]]()
-        self.herds, self.floors = OrderedDict[tuple[str, int, str], Herd](), OrderedDict[str | int, int]()
+        self.herds = OrderedDict[tuple[str, int, str], Herd]()
+        self.floors = OrderedDict[str | int, tuple[int, int]]()  # when made, when told; in the order told
         self.ledger, self.waiting = dict[str, Visit](), dict[str, Visit]()
         self.attempts, self.outbox = dict[Attempt, None](), deque[Decision]()
         self.stirred, self.asking = False, False
@@ -383,7 +386,17 @@
             self._close(self.ledger[id])
 
     def purged(self, now: int, thing: str, group: int, age: int) -> None:
-        self.floors[thing or group] = max(self.floors.get(thing or group, 0), now - age)
+        self._raise_floor(now, thing or group, now - age)
+        # Danger: a floor forgotten while an old copy from before its purge may still be asked for serves it.
+        while next(iter(self.floors.values()))[1] < now - self.floors_us:
+            self.floors.popitem(last=False)
+        while len(self.floors) > MOST_FLOORS:
+            # Danger: a flood of purges takes the memory. The longest told become one floor under all objects.
+            self._raise_floor(now, ALL_OBJECTS, self.floors.popitem(last=False)[1][0])
+
+    def _raise_floor(self, now: int, key: str | int, floor: int) -> None:
+        # Danger: one that is purged again and kept its place would keep all that stand behind it.
+        self.floors[key] = (max(self.floors.pop(key, (0, 0))[0], floor), now)
 
     def _reported(self, now: int, report: list[float]) -> None:
         for name, figure in zip(self.site.report_fields, report, strict=False):
@@ -422,10 +435,6 @@
         if self.rules.must_follow and not self.asking:
             self.asking = True
             self.outbox.append(Decision("follow"))
-        # Danger: a floor forgotten while an old copy from before its purge may still be asked for serves it.
-        horizon = now - self.floors_us
-        while self.floors and next(iter(self.floors.values())) < horizon:
-            self.floors.popitem(last=False)
         if now >= self.silence_check:
             self.silence_check = now + 50_000  # a silence shows after 0.7 s, so this is fine enough
             self._find_silent(now)
@@ -596,7 +605,9 @@
         return -1 if stale or not self._usable(now, host) else host
 
     def _floor(self, visit: Visit) -> int:
-        return max(self.floors.get(visit.thing, 0), self.floors.get(visit.group, 0))
+        floors, none = self.floors, (0, 0)
+        least = floors.get(ALL_OBJECTS, none)[0]
+        return max(floors.get(visit.thing, none)[0], floors.get(visit.group, none)[0], least)
 
     def _usable(self, now: int, host: int) -> bool:
         return self.states[host] == "up" and (now >= self.silent_until[host])
--- a/hoistplank/xds/book.py
+++ b/hoistplank/xds/book.py
@@ -17,6 +17,7 @@
 
 from __future__ import annotations
 
+from collections import OrderedDict
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from functools import partial
@@ -88,6 +89,9 @@
         self.firsts: dict[str, Firsts] = {}  # cluster -> the first host of each name that is followed
         self.followed: dict[str, int] = {}  # name on demand -> how many followers have it
         self.floors: dict[str, int] = {}  # object or "group.N" -> when it was purged (us)
+        self.told_at = OrderedDict[
+            str, int
+        ]()  # the same names, in the order in which they were last told (us)
         self.resources: dict[str, dict[str, Resource]] = {kind: {} for kind in TYPES}
         self.encoded = 0  # endpoints encoded so far: what a change costs
         self._keep(ROUTE, ROUTES, self._routes)
@@ -175,12 +179,18 @@
         """An object, or a group where `thing` is empty, has been purged at `made_us`."""
         name = thing or f"group.{group}"
         self.floors[name] = max(made_us, self.floors.get(name, 0))
+        self.told_at[name] = now
+        self.told_at.move_to_end(name)
         self.passed(now)
         return {(RUNTIME, PURGES)} if self._keep(RUNTIME, PURGES, self._purges) else set()
 
     def passed(self, now: int) -> None:
-        """Forgets purges that no copy can be older than; followers hear of it with the next purge."""
-        for name in [name for name, made in self.floors.items() if made < now - self.bound_us]:
+        """Forgets purges that no copy can be older than; followers hear of it with the next purge.
+
+        Danger: a purge heard late, after a cut, and forgotten by its own time would never reach a follower.
+        """
+        while self.told_at and next(iter(self.told_at.values())) < now - self.bound_us:
+            name, _ = self.told_at.popitem(last=False)
             del self.floors[name]
 
     # Names on demand.
--- a/tests/test_xds.py
+++ b/tests/test_xds.py
@@ -140,6 +140,17 @@
     assert book.purged(20 * S, "aa", 0, 20 * S) == {(RUNTIME, "purges")} and book.floors == {"aa": 20 * S}
 
 
+def test_a_purge_heard_late_is_told_for_as_long_as_any_other() -> None:
+    book = Book(bound_us=10 * S)
+    assert book.purged(3_600 * S, "aa", 0, 5 * S) == {(RUNTIME, "purges")}
+    assert book.floors == {"aa": 5 * S}
+    for second in range(3_601, 3_610):
+        book.purged(second * S, "often", 0, second * S)
+        assert book.floors["aa"] == 5 * S
+    book.purged(3_611 * S, "often", 0, 3_611 * S)
+    assert book.floors == {"often": 3_611 * S} and list(book.told_at) == ["often"]
+
+
 @given(st.text(max_size=40))
 def test_names_on_demand_are_parsed_or_refused(text: str) -> None:
     assert Book().follow(text) is (parsed(text) is not None)
