ResourceCache in xds/resources.py in place of Book

Need: 'book' says nothing of what it holds, and is a right of callers elsewhere. No change of behaviour.

--- a/benchmarks/xds.py
+++ b/benchmarks/xds.py
@@ -29,8 +29,8 @@
 from hoistplank.standins.proxy import Proxy
 from hoistplank.standins.settings import SETTINGS, listing, target
 from hoistplank.standins.wire import serve
-from hoistplank.xds.book import ENDPOINT, VHOST, Book
 from hoistplank.xds.control import Control
+from hoistplank.xds.resources import ENDPOINT, VHOST, ResourceCache
 
 QUICK = os.environ.get("QUICK") == "1"
 SEED, S = 7, 1_000_000
@@ -211,7 +211,7 @@
             await asyncio.sleep(PURGE_S + 0.4)
             cpu = time.process_time() - cpu
             bytes_told = sum(stream.follower.bytes for stream in place.control.hub.streams) - bytes_before
-            whole = sum(len(row.data) for row in place.control.book.resources[ENDPOINT].values())
+            whole = sum(len(row.data) for row in place.control.resources.by_type[ENDPOINT].values())
             back = place.say("box-0", "ready")
             await asyncio.sleep(0.3)
             rows = list[dict[str, Any]]()
@@ -272,11 +272,13 @@
             def even() -> bool:
                 """Both hold the newest list, and the plain one a route for each name that it asked for."""
                 want = {uid: states.get(uid, "up") == "up" for uid in names}
-                book, held = place.control.book, plain.versions.get(VHOST, {})
+                resources, held = place.control.resources, plain.versions.get(VHOST, {})
                 return (
                     all({u: row[0] for u, row in p.hosts.items()} == want for p in (plain, extension))
                     and len(held) == len(asked)
-                    and all(book.resources[VHOST][name].version == version for name, version in held.items())
+                    and all(
+                        resources.by_type[VHOST][name].version == version for name, version in held.items()
+                    )
                 )
 
             async def settled() -> None:
@@ -331,23 +333,23 @@
     """CPU of one changed host by the size of the whole, and of all of them."""
     from dataclasses import replace
 
-    from hoistplank.xds.book import Host
+    from hoistplank.xds.resources import Host
 
     found = {}
     for hosts in (12, 100, 1_000):
-        book, began = Book(), time.perf_counter()
+        resources, began = ResourceCache(), time.perf_counter()
         rows = [
             Host(f"h{n}", "127.0.0.1", 9_000, "caches", f"z{n // 50}", 0, 1.0, 0, True) for n in range(hosts)
         ]
         for row in rows:
-            book.put(row)
+            resources.put(row)
         whole, began = time.perf_counter() - began, time.perf_counter()
-        book.encoded = 0
+        resources.encoded = 0
         for n in range(50):
-            book.put(replace(rows[0], up=n % 2 == 1))
+            resources.put(replace(rows[0], up=n % 2 == 1))
         found[str(hosts)] = {
             "us_a_change": round((time.perf_counter() - began) / 50 * 1e6, 1),
-            "endpoints_encoded_a_change": book.encoded / 50,
+            "endpoints_encoded_a_change": resources.encoded / 50,
             "all_ms": round(whole * 1e3, 1),
         }
     return found
--- a/hoistplank/cli/control.py
+++ b/hoistplank/cli/control.py
@@ -72,7 +72,7 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             asyncio.get_running_loop().add_signal_handler(number, ended.set)
         port = await made.serve(listen)
-        log.info("control service", listen=listen, port=port, hosts=len(made.book.hosts))
+        log.info("control service", listen=listen, port=port, hosts=len(made.resources.hosts))
         running = asyncio.create_task(made.run(), name="control")
         while not ended.is_set() and not running.done():
             with contextlib.suppress(TimeoutError):
@@ -108,7 +108,7 @@
     from envoy.service.runtime.v3 import rtds_pb2
     from google.protobuf.json_format import MessageToDict
 
-    from hoistplank.xds.book import CLUSTER, ENDPOINT, PURGES, RUNTIME
+    from hoistplank.xds.resources import CLUSTER, ENDPOINT, PURGES, RUNTIME
 
     out: asyncio.Queue[Any] = asyncio.Queue()
     found: dict[str, Any] = {}
--- a/hoistplank/xds/control.py
+++ b/hoistplank/xds/control.py
@@ -1,4 +1,4 @@
-"""Follows the change log and keeps the book and its followers in step with it: `hoistplank control run`."""
+"""Follows the change log and keeps resources and followers in step with it: `hoistplank control run`."""
 
 from __future__ import annotations
 
@@ -15,7 +15,7 @@
 from hoistplank.routing.clock import Clock
 from hoistplank.routing.listing import Listing
 from hoistplank.routing.owner import Event, Listed, Purged
-from hoistplank.xds.book import ORIGIN, PARENTS, Book, Host
+from hoistplank.xds.resources import ORIGIN, PARENTS, Host, ResourceCache
 from hoistplank.xds.service import Hub, Limits, server
 
 log = structlog.get_logger()
@@ -63,8 +63,8 @@
 
     def __init__(self, configuration: Configuration, limits: Limits | None = None) -> None:
         self.site, self.clock = configuration.site, Clock()
-        self.book = Book(configuration.site.floors_us)
-        self.hub = Hub(self.book, self.clock.now, limits)
+        self.resources = ResourceCache(configuration.site.floors_us)
+        self.hub = Hub(self.resources, self.clock.now, limits)
         self.server: Any = None
         self.port = 0
         self.listing = Listing(self, configuration.changelog, configuration.known, Random(configuration.seed))
@@ -73,24 +73,24 @@
         """What the change log says, in order; followers are told at once, drains and purges first."""
         now = self.clock.now()
         if isinstance(event, Purged):
-            self.hub.tell(self.book.purged(now, event.thing, event.group, event.made_us), urgent=True)
+            self.hub.tell(self.resources.purged(now, event.thing, event.group, event.made_us), urgent=True)
         elif isinstance(event, Listed) and event.form != "failed":
-            known, named = self.book.hosts, {target.uid for target in event.targets}
+            known, named = self.resources.hosts, {target.uid for target in event.targets}
             gone = {target.uid for target in event.targets if target.state == "gone"}
             if event.form != "changes":
                 gone |= {uid for uid in known if uid not in named}
             left = gone | {target.uid for target in event.targets if target.state != "ready"}
             urgent = any(uid in known and known[uid].up for uid in left)
             there = [seen(self.site, target, now) for target in event.targets if target.uid not in gone]
-            self.hub.tell(self.book.listed(there, gone), urgent)
+            self.hub.tell(self.resources.listed(there, gone), urgent)
 
     def warm(self) -> None:
         """Cold hosts get what their time allows by now."""
         now = self.clock.now()
-        self.book.passed(now)
-        cold = [host for host in self.book.hosts.values() if host.share < 1.0]
+        self.resources.passed(now)
+        cold = [host for host in self.resources.hosts.values() if host.share < 1.0]
         warmer = [replace(host, share=warmth(self.site, host, now)) for host in cold]
-        self.hub.tell(self.book.listed(warmer, []))
+        self.hub.tell(self.resources.listed(warmer, []))
 
     async def serve(self, address: str, credentials: Any = None) -> int:
         """Starts to serve followers at HOST:PORT; returns the port. Raises OSError."""
--- a/hoistplank/xds/follower.py
+++ b/hoistplank/xds/follower.py
@@ -22,7 +22,7 @@
 
 from dataclasses import dataclass, field
 
-from hoistplank.xds.book import CLUSTER, ENDPOINT, ROUTE, RUNTIME, TYPES, VHOST, Book, digest
+from hoistplank.xds.resources import CLUSTER, ENDPOINT, ROUTE, RUNTIME, TYPES, VHOST, ResourceCache, digest
 
 MOST_OUT = 4
 MOST_NAMES = 20_000  # subscriptions of one follower and type
@@ -73,8 +73,8 @@
 class Follower:
     """`delta`: incremental; else state of the world. `node` is who it says it is."""
 
-    def __init__(self, book: Book, delta: bool) -> None:
-        self.book, self.delta, self.node = book, delta, ""
+    def __init__(self, resources: ResourceCache, delta: bool) -> None:
+        self.resources, self.delta, self.node = resources, delta, ""
         self.types: dict[str, Interest] = {}
         self.sent = self.nacks = self.bytes = 0
 
@@ -112,11 +112,11 @@
             interest.wild = False
         self._want(kind, interest, set(more) - {"*"}, set(fewer) - {"*"})
         if first and interest.wild:
-            names = set(self.book.names(kind))
+            names = set(self.resources.names(kind))
             interest.owed |= names | (set(interest.accepted) - names)
         if first:
             # What an earlier stream held and is no more is told as removed.
-            interest.owed |= {name for name in interest.accepted if self.book.get(kind, name) is None}
+            interest.owed |= {name for name in interest.accepted if self.resources.get(kind, name) is None}
 
     def _interest(self, kind: str) -> Interest:
         if kind not in TYPES:
@@ -149,11 +149,11 @@
             interest.owed.discard(name)
             interest.accepted.pop(name, None)
             if kind in ON_DEMAND:
-                self.book.leave(name)
+                self.resources.leave(name)
         for name in sorted(more - interest.names):
             interest.names.add(name)
             interest.owed.add(name)
-            if kind in ON_DEMAND and not self.book.follow(name):
+            if kind in ON_DEMAND and not self.resources.follow(name):
                 interest.names.discard(name)  # told as removed: there is none such
 
     def ended(self) -> None:
@@ -161,7 +161,7 @@
         for kind in ON_DEMAND:
             interest = self.types.get(kind)
             for name in interest.names if interest is not None else ():
-                self.book.leave(name)
+                self.resources.leave(name)
         self.types.clear()
 
     # What it is told.
@@ -205,11 +205,11 @@
         names = (
             interest.owed
             if self.delta or not (interest.owed or interest.whole)
-            else (set(self.book.names(kind)) if interest.wild else set(interest.names))
+            else (set(self.resources.names(kind)) if interest.wild else set(interest.names))
         )
         rows, removed, held_back = [], [], set()
         for name in sorted(names):
-            found = self.book.get(kind, name)
+            found = self.resources.get(kind, name)
             if found is None:
                 if not self._breaks(kind):
                     held_back.add(name)
@@ -226,7 +226,7 @@
                 interest.accepted.get(name) != version and interest.refused.get(name) != version
                 for name, version, _ in rows
             )
-            or any(name not in names or self.book.get(kind, name) is None for name in interest.accepted)
+            or any(name not in names or self.resources.get(kind, name) is None for name in interest.accepted)
         )
         interest.owed = held_back
         if not fresh or not (rows or removed or interest.whole):
@@ -268,7 +268,7 @@
 
     def _stands(self, interest: Interest, kind: str, name: str, version: str) -> bool:
         """Whether what a follower holds is the newest, or the last good one before what it refused."""
-        held, refused = self.book.get(kind, name), interest.refused.get(name)
+        held, refused = self.resources.get(kind, name), interest.refused.get(name)
         return held is not None and refused != version and held.version in (version, refused)
 
     def late(self, now: int, most_us: int) -> bool:
--- a/hoistplank/xds/book.py
+++ b/hoistplank/xds/resources.py
@@ -1,9 +1,9 @@
-"""What followers are told: one pure function from what is known to xDS resources, kept by index.
+"""The xDS resources that followers are told, kept in step with hosts, purges and followed names.
 
-Judgement, but for protobuf's own encoding: facts in, names of changed resources out. A resource's version is
-the digest of its bytes, so that a change that changes nothing sends nothing, and two control processes with
-the same facts serve the same bytes. A change at one host encodes one endpoint anew; the assignment around it
-is put together from the bytes of the others, which are kept.
+Decisions without I/O, but for protobuf's own encoding: facts in, names of changed resources out. A resource's
+version is the digest of its bytes, so that a change that changes nothing sends nothing, and two control
+processes with the same facts serve the same bytes. A change at one host encodes one endpoint anew; the
+assignment around it is put together from the bytes of the others, which are kept.
 
 Resources (types of the v3 API, https://www.envoyproxy.io/docs/envoy/latest/api-docs/xds_protocol):
 
@@ -79,8 +79,8 @@
     return bytes(message.SerializeToString(deterministic=True))
 
 
-class Book:
-    """All resources, by type and name; `bound`: for how long a purge is told (us)."""
+class ResourceCache:
+    """All resources, by type and name; `bound_us`: for how long a purge is told (us)."""
 
     def __init__(self, bound_us: int = 60_000_000) -> None:
         self.bound_us = bound_us
@@ -89,26 +89,26 @@
         self.firsts: dict[str, Firsts] = {}  # cluster -> the first host of each name that is followed
         self.followed: dict[str, int] = {}  # name on demand -> how many followers have it
         self.floors: dict[str, int] = {}  # object or "group.N" -> when it was purged (us)
-        self.told_at = OrderedDict[
-            str, int
-        ]()  # the same names, in the order in which they were last told (us)
-        self.resources: dict[str, dict[str, Resource]] = {kind: {} for kind in TYPES}
+        self.told_at: OrderedDict[str, int] = (
+            OrderedDict()
+        )  # the same names, by when they were last told (us)
+        self.by_type: dict[str, dict[str, Resource]] = {kind: {} for kind in TYPES}
         self.encoded = 0  # endpoints encoded so far: what a change costs
         self._keep(ROUTE, ROUTES, self._routes)
         self._keep(RUNTIME, PURGES, self._purges)
 
     def get(self, kind: str, name: str) -> Resource | None:
-        return self.resources.get(kind, {}).get(name)
+        return self.by_type.get(kind, {}).get(name)
 
     def names(self, kind: str) -> list[str]:
-        return sorted(self.resources.get(kind, {}))
+        return sorted(self.by_type.get(kind, {}))
 
     def _keep(self, kind: str, name: str, make: Callable[[], Any]) -> bool:
         data = _bytes(make())
-        held = self.resources[kind].get(name)
+        held = self.by_type[kind].get(name)
         if held is not None and held.data == data:
             return False
-        self.resources[kind][name] = Resource(digest(data), data)
+        self.by_type[kind][name] = Resource(digest(data), data)
         return True
 
     # What is known changes.
@@ -136,7 +136,7 @@
             self.encoded += 1
             row = endpoint_components_pb2.LocalityLbEndpoints(lb_endpoints=[endpoint(host)])
             self.members.setdefault(cluster, {})[host.uid] = _bytes(row)
-            if cluster not in self.resources[CLUSTER]:
+            if cluster not in self.by_type[CLUSTER]:
                 self._keep(CLUSTER, cluster, partial(_cluster, cluster))
                 changed.add((CLUSTER, cluster))
             firsts = self.firsts.setdefault(cluster, Firsts())
@@ -215,7 +215,7 @@
             self.followed[name] -= 1
             if not self.followed[name]:
                 del self.followed[name]
-                self.resources[VHOST].pop(name, None)
+                self.by_type[VHOST].pop(name, None)
                 found = parsed(name)
                 if found is not None:
                     self.firsts[f"caches-{found[2]}"].leave([name])
--- a/hoistplank/xds/service.py
+++ b/hoistplank/xds/service.py
@@ -1,4 +1,4 @@
-"""The xDS service on grpc.aio: streams of followers, each with its `Follower`, all with one `Book`.
+"""The xDS service on grpc.aio: streams of followers, each with its `Follower`, all with one `ResourceCache`.
 
 One task a stream reads requests, another writes what the follower is owed, one message at a time: what the
 transport has not taken yet is not made. Changes reach every follower as names before anything is written.
@@ -18,8 +18,8 @@
 from google.protobuf import any_pb2, duration_pb2
 from google.rpc import status_pb2
 
-from hoistplank.xds.book import Book, Change
 from hoistplank.xds.follower import WITH_TTL, BadRequest, Follower, Response
+from hoistplank.xds.resources import Change, ResourceCache
 
 log = structlog.get_logger()
 MOST_MESSAGE = 4_194_304  # bytes of a request
@@ -44,7 +44,7 @@
 
     def __init__(self, hub: Hub, delta: bool, peer: str) -> None:
         self.hub, self.peer = hub, peer
-        self.follower = Follower(hub.book, delta)
+        self.follower = Follower(hub.resources, delta)
         self.wake = asyncio.Event()
         self.writer: asyncio.Task[None] | None = None
 
@@ -55,16 +55,18 @@
 
 
 class Hub:
-    """The book and who follows it. `now` tells whole microseconds."""
+    """The resources and who follows it. `now` tells whole microseconds."""
 
-    def __init__(self, book: Book, now: Callable[[], int], limits: Limits | None = None) -> None:
-        self.book, self.now, self.limits = book, now, limits or Limits()
+    def __init__(
+        self, resources: ResourceCache, now: Callable[[], int], limits: Limits | None = None
+    ) -> None:
+        self.resources, self.now, self.limits = resources, now, limits or Limits()
         self.streams: set[Stream] = set()
         self.starting = asyncio.Semaphore(self.limits.starting)
         self.counts = {"streams": 0, "refused streams": 0, "bad requests": 0, "renewed": 0}
 
     def tell(self, changes: set[Change], urgent: bool = False) -> None:
-        """What changed in the book, to all who want it; `urgent`: drains and purges, before all else."""
+        """What changed in the resources, to all who want it; `urgent`: drains and purges, before all else."""
         if not changes:
             return
         now, by_kind = self.now(), dict[str, set[str]]()
@@ -109,7 +111,7 @@
                             "out": len(interest.out),
                             "error": interest.error,
                             "behind": sum(
-                                (found := self.book.get(kind, name)) is None or found.version != version
+                                (found := self.resources.get(kind, name)) is None or found.version != version
                                 for name, version in interest.accepted.items()
                             ),
                         }
--- a/tests/test_xds.py
+++ b/tests/test_xds.py
@@ -27,9 +27,19 @@
 from hoistplank.standins.proxy import Proxy, name_of
 from hoistplank.standins.settings import listing, target
 from hoistplank.standins.wire import serve
-from hoistplank.xds.book import CLUSTER, ENDPOINT, ROUTE, ROUTES, RUNTIME, VHOST, Book, Host, parsed
 from hoistplank.xds.control import Control
 from hoistplank.xds.follower import BadRequest, Follower
+from hoistplank.xds.resources import (
+    CLUSTER,
+    ENDPOINT,
+    ROUTE,
+    ROUTES,
+    RUNTIME,
+    VHOST,
+    Host,
+    ResourceCache,
+    parsed,
+)
 from hoistplank.xds.service import Limits
 from hoistplank.xds.table import Firsts, key_of, order
 from tests.helpers import configuration
@@ -107,7 +117,7 @@
 
 
 def test_the_same_facts_are_the_same_bytes_whatever_came_before() -> None:
-    one, two, rows = Book(), Book(), [host(f"h{n}") for n in range(12)]
+    one, two, rows = ResourceCache(), ResourceCache(), [host(f"h{n}") for n in range(12)]
     for row in rows:
         one.put(row)
     one.put(host("h3", up=False))
@@ -117,61 +127,63 @@
     two.drop("gone")
     for row in reversed(rows):
         two.put(row if row.uid != "h3" else host("h3", up=False))
-    assert one.resources[ENDPOINT] == two.resources[ENDPOINT]
-    assert one.resources[CLUSTER] == two.resources[CLUSTER]
+    assert one.by_type[ENDPOINT] == two.by_type[ENDPOINT]
+    assert one.by_type[CLUSTER] == two.by_type[CLUSTER]
 
 
 def test_a_change_that_changes_nothing_is_none_and_one_host_costs_one_host() -> None:
-    book = Book()
+    resources = ResourceCache()
     for n in range(1_000):
-        book.put(host(f"h{n}", zone=f"z{n % 10}"))
-    book.encoded = 0
-    assert book.put(host("h17", zone="z7")) == set()
-    assert book.put(host("h17", zone="z7", up=False)) == {(ENDPOINT, "caches-z7")}
-    assert book.encoded == 1
-    assert book.put(host("h17", zone="z2")) == {(ENDPOINT, "caches-z7"), (ENDPOINT, "caches-z2")}
-    assert book.drop("h17") == {(ENDPOINT, "caches-z2")} and book.drop("h17") == set()
+        resources.put(host(f"h{n}", zone=f"z{n % 10}"))
+    resources.encoded = 0
+    assert resources.put(host("h17", zone="z7")) == set()
+    assert resources.put(host("h17", zone="z7", up=False)) == {(ENDPOINT, "caches-z7")}
+    assert resources.encoded == 1
+    assert resources.put(host("h17", zone="z2")) == {(ENDPOINT, "caches-z7"), (ENDPOINT, "caches-z2")}
+    assert resources.drop("h17") == {(ENDPOINT, "caches-z2")} and resources.drop("h17") == set()
 
 
 def test_purges_are_told_as_long_as_copies_may_be_older() -> None:
-    book = Book(bound_us=10 * S)
-    assert book.purged(5 * S, "", 7, 5 * S) == {(RUNTIME, "purges")}
-    assert book.purged(6 * S, "", 7, 4 * S) == set()  # an older one says nothing new
-    assert book.purged(20 * S, "aa", 0, 20 * S) == {(RUNTIME, "purges")} and book.floors == {"aa": 20 * S}
+    resources = ResourceCache(bound_us=10 * S)
+    assert resources.purged(5 * S, "", 7, 5 * S) == {(RUNTIME, "purges")}
+    assert resources.purged(6 * S, "", 7, 4 * S) == set()  # an older one says nothing new
+    assert resources.purged(20 * S, "aa", 0, 20 * S) == {(RUNTIME, "purges")} and resources.floors == {
+        "aa": 20 * S
+    }
 
 
 def test_a_purge_heard_late_is_told_for_as_long_as_any_other() -> None:
-    book = Book(bound_us=10 * S)
-    assert book.purged(3_600 * S, "aa", 0, 5 * S) == {(RUNTIME, "purges")}
-    assert book.floors == {"aa": 5 * S}
+    resources = ResourceCache(bound_us=10 * S)
+    assert resources.purged(3_600 * S, "aa", 0, 5 * S) == {(RUNTIME, "purges")}
+    assert resources.floors == {"aa": 5 * S}
     for second in range(3_601, 3_610):
-        book.purged(second * S, "often", 0, second * S)
-        assert book.floors["aa"] == 5 * S
-    book.purged(3_611 * S, "often", 0, 3_611 * S)
-    assert book.floors == {"often": 3_611 * S} and list(book.told_at) == ["often"]
+        resources.purged(second * S, "often", 0, second * S)
+        assert resources.floors["aa"] == 5 * S
+    resources.purged(3_611 * S, "often", 0, 3_611 * S)
+    assert resources.floors == {"often": 3_611 * S} and list(resources.told_at) == ["often"]
 
 
 @given(st.text(max_size=40))
 def test_names_on_demand_are_parsed_or_refused(text: str) -> None:
-    assert Book().follow(text) is (parsed(text) is not None)
+    assert ResourceCache().follow(text) is (parsed(text) is not None)
     found = parsed(f"visits/{text}")
     assert found is None or parsed(name_of(*found)) == found
 
 
 def test_routes_follow_the_hosts_they_name() -> None:
-    book = Book()
+    resources = ResourceCache()
     for n in range(5):
-        book.put(host(f"h{n}"))
+        resources.put(host(f"h{n}"))
     names = [name_of(f"{n:016x}", 0, "z1") for n in range(40)]
-    assert all(book.follow(name) for name in names)
-    first = {name: book.firsts["caches-z1"].first[name][1] for name in names}
-    moved = book.put(host("h2", up=False))
+    assert all(resources.follow(name) for name in names)
+    first = {name: resources.firsts["caches-z1"].first[name][1] for name in names}
+    moved = resources.put(host("h2", up=False))
     assert {name for kind, name in moved if kind == VHOST} == {n for n in names if first[n] == "h2"}
-    back = book.put(host("h2"))
+    back = resources.put(host("h2"))
     assert {name for kind, name in back if kind == VHOST} == {n for n in names if first[n] == "h2"}
     for name in names:
-        book.leave(name)
-    assert not book.resources[VHOST] and not book.followed
+        resources.leave(name)
+    assert not resources.by_type[VHOST] and not resources.followed
 
 
 # The protocol.
@@ -196,49 +208,51 @@
         return True
 
 
-def started(book: Book, kinds: tuple[str, ...] = (CLUSTER,), names: tuple[str, ...] = ()) -> Client:
-    client = Client(Follower(book, True))
+def started(
+    resources: ResourceCache, kinds: tuple[str, ...] = (CLUSTER,), names: tuple[str, ...] = ()
+) -> Client:
+    client = Client(Follower(resources, True))
     for kind in kinds:
         client.follower.changes(kind, list(names) if kind != CLUSTER else [], [], {}, "", "")
     return client
 
 
 def test_what_is_refused_is_not_sent_again_until_it_changes() -> None:
-    book = Book()
-    book.put(host("a"))
-    client = started(book, (ENDPOINT,), ("caches-z1",))
+    resources = ResourceCache()
+    resources.put(host("a"))
+    client = started(resources, (ENDPOINT,), ("caches-z1",))
     assert client.take(refuse=True)
     assert not client.take() and client.follower.types[ENDPOINT].error == "no"
-    for kind, name in book.put(host("b")):
+    for kind, name in resources.put(host("b")):
         client.follower.changed(0, kind, {name})
     assert client.take() and not client.take()
-    assert client.held[ENDPOINT]["caches-z1"] == book.resources[ENDPOINT]["caches-z1"].version
+    assert client.held[ENDPOINT]["caches-z1"] == resources.by_type[ENDPOINT]["caches-z1"].version
     assert client.follower.types[ENDPOINT].error == ""
 
 
 def test_a_slow_follower_gets_the_newest_state_and_a_drain_does_not_wait() -> None:
-    book = Book()
-    book.put(host("a"))
-    follower = started(book, (ENDPOINT,), ("caches-z1",)).follower
+    resources = ResourceCache()
+    resources.put(host("a"))
+    follower = started(resources, (ENDPOINT,), ("caches-z1",)).follower
     first = follower.next()
     assert first is not None
     for n in range(50):
-        for kind, name in book.put(host(f"h{n}")):
+        for kind, name in resources.put(host(f"h{n}")):
             follower.changed(0, kind, {name})
     assert follower.next() is None  # one is out
-    for kind, name in book.put(host("a", up=False)):
+    for kind, name in resources.put(host("a", up=False)):
         follower.changed(1, kind, {name}, True)
     second = follower.next()
-    assert second is not None and second.resources[0][1] == book.resources[ENDPOINT]["caches-z1"].version
+    assert second is not None and second.resources[0][1] == resources.by_type[ENDPOINT]["caches-z1"].version
     follower.changes(ENDPOINT, [], [], {}, first.nonce, "")
     follower.changes(ENDPOINT, [], [], {}, second.nonce, "")
     assert follower.next() is None  # and nothing of the fifty is left
 
 
 def test_only_a_drain_or_a_purge_can_be_late_and_heartbeats_hold_up_nothing() -> None:
-    book = Book()
-    book.put(host("a"))
-    follower = started(book, (ENDPOINT,), ("caches-z1",)).follower
+    resources = ResourceCache()
+    resources.put(host("a"))
+    follower = started(resources, (ENDPOINT,), ("caches-z1",)).follower
     first = follower.next()
     assert first is not None and not follower.late(
         100 * S, 800_000
@@ -246,7 +260,7 @@
     follower.changes(ENDPOINT, [], [], {}, first.nonce, "")
     beats = follower.beat()
     assert [row[2] for row in beats[0].resources] == [b""] and not follower.types[ENDPOINT].out
-    for kind, name in book.put(host("a", up=False)):
+    for kind, name in resources.put(host("a", up=False)):
         follower.changed(100 * S, kind, {name}, True)
     assert not follower.late(100 * S + 700_000, 800_000) and follower.late(100 * S + 900_000, 800_000)
     assert follower.beat() == []  # what is due says more
@@ -260,14 +274,14 @@
 
 
 def test_a_cluster_goes_only_once_no_route_is_owed_or_out() -> None:
-    book = Book()
-    book.put(host("a"))
-    client = started(book, (CLUSTER, ROUTE), (ROUTES,))
+    resources = ResourceCache()
+    resources.put(host("a"))
+    client = started(resources, (CLUSTER, ROUTE), (ROUTES,))
     while client.take():
         pass
     follower = client.follower
-    del book.resources[CLUSTER]["caches-z1"]
-    book.resources[ROUTE][ROUTES] = type(book.resources[ROUTE][ROUTES])("other", b"x")
+    del resources.by_type[CLUSTER]["caches-z1"]
+    resources.by_type[ROUTE][ROUTES] = type(resources.by_type[ROUTE][ROUTES])("other", b"x")
     follower.changed(0, CLUSTER, {"caches-z1"})
     follower.changed(0, ROUTE, {ROUTES})
     route = follower.next()
@@ -278,14 +292,14 @@
 
 
 def test_state_of_the_world_ignores_stale_nonces_and_tells_all() -> None:
-    book = Book()
-    book.put(host("a"))
-    follower = Follower(book, False)
+    resources = ResourceCache()
+    resources.put(host("a"))
+    follower = Follower(resources, False)
     follower.asks(CLUSTER, [], "", "")
     first = follower.next()
     assert first is not None and [name for name, _, _ in first.resources] == ["caches-z1"]
     follower.asks(CLUSTER, [], first.nonce, "")
-    for kind, name in book.put(host("b", zone="z2")):
+    for kind, name in resources.put(host("b", zone="z2")):
         follower.changed(0, kind, {name})
     second = follower.next()
     assert second is not None and [n for n, _, _ in second.resources] == ["caches-z1", "caches-z2"]
@@ -298,11 +312,11 @@
 
 
 def test_a_stream_that_comes_back_is_told_only_what_it_lacks() -> None:
-    book = Book()
-    book.put(host("a"))
-    book.put(host("b", zone="z2"))
-    held = {name: row.version for name, row in book.resources[CLUSTER].items()}
-    follower = Follower(book, True)
+    resources = ResourceCache()
+    resources.put(host("a"))
+    resources.put(host("b", zone="z2"))
+    held = {name: row.version for name, row in resources.by_type[CLUSTER].items()}
+    follower = Follower(resources, True)
     follower.changes(CLUSTER, [], [], {**held, "caches-old": "1"}, "", "")
     response = follower.next()
     assert response is not None and response.resources == [] and response.removed == ["caches-old"]
@@ -313,8 +327,8 @@
 
     def __init__(self) -> None:
         super().__init__()
-        self.book = Book()
-        self.client = started(self.book, (CLUSTER, ENDPOINT))
+        self.resources = ResourceCache()
+        self.client = started(self.resources, (CLUSTER, ENDPOINT))
         self.wanted = set[str]()
         self.refusing = False
 
@@ -324,11 +338,11 @@
 
     @rule(n=st.integers(0, 5), zone=st.sampled_from(["z1", "z2"]), up=st.booleans(), urgent=st.booleans())
     def put(self, n: int, zone: str, up: bool, urgent: bool) -> None:
-        self.tell(self.book.put(host(f"h{n}", up, zone)), urgent)
+        self.tell(self.resources.put(host(f"h{n}", up, zone)), urgent)
 
     @rule(n=st.integers(0, 5))
     def drop(self, n: int) -> None:
-        self.tell(self.book.drop(f"h{n}"), True)
+        self.tell(self.resources.drop(f"h{n}"), True)
 
     @rule(zone=st.sampled_from(["z1", "z2"]), more=st.booleans())
     def want(self, zone: str, more: bool) -> None:
@@ -356,9 +370,9 @@
         if self.refusing:
             return
         for name in self.wanted:
-            found = self.book.get(ENDPOINT, name)
+            found = self.resources.get(ENDPOINT, name)
             assert found is None or self.client.held[ENDPOINT][name] == found.version
-        clusters = {name: row.version for name, row in self.book.resources[CLUSTER].items()}
+        clusters = {name: row.version for name, row in self.resources.by_type[CLUSTER].items()}
         assert self.client.held.get(CLUSTER, {}) == clusters
 
 
@@ -464,7 +478,7 @@
                 )
                 await until(
                     lambda: all(
-                        place.control.book.get(VHOST, name).version == version  # type: ignore[union-attr]
+                        place.control.resources.get(VHOST, name).version == version  # type: ignore[union-attr]
                         for name, version in plain.versions[VHOST].items()
                     )
                 )
@@ -550,7 +564,7 @@
             proxy.drop()
             await until(lambda: not proxy.hosts["box-0"][0])
             await until(lambda: "box-0" not in proxy.vhosts.values())
-            assert second.book.resources[ENDPOINT] == place.control.book.resources[ENDPOINT]
+            assert second.resources.by_type[ENDPOINT] == place.control.resources.by_type[ENDPOINT]
             assert proxy.counts["bytes"] - before < before  # what it held was not told again
             await second.close()
 
@@ -635,19 +649,19 @@
         rows = [Target(f"box-{n}", f"127.0.0.1:{9_000 + n}", "z1", "box", 0, "ready", 1.0) for n in range(5)]
         cold = Target("box-9", "127.0.0.1:9009", "z1", "box", 0, "ready", 1.0, now / 1_000)
         made.tell(Listed("whole", [*rows, cold]))
-        assert made.book.hosts["box-9"].share == pytest.approx(made.site.rules.cold_from, abs=0.1)
+        assert made.resources.hosts["box-9"].share == pytest.approx(made.site.rules.cold_from, abs=0.1)
         keys = [key_of(f"{n:016x}", 0) for n in range(2_000)]
-        weights = made.book.firsts["caches-z1"].weights
+        weights = made.resources.firsts["caches-z1"].weights
         got = sum(order(key, weights)[0] == "box-9" for key in keys) / len(keys)
         assert got < 1.5 * made.site.rules.cold_from / 5.2
         made.clock.ahead += made.site.rules.cold_us * 1_000
         made.warm()
-        assert made.book.hosts["box-9"].share == 1.0
+        assert made.resources.hosts["box-9"].share == 1.0
         now = made.clock.now()
         made.tell(Purged("", 3, now))
         made.tell(Listed("failed", []))
         made.tell(Listed("whole", rows))
-        assert "box-9" not in made.book.hosts and made.book.floors == {"group.3": now}
+        assert "box-9" not in made.resources.hosts and made.resources.floors == {"group.3": now}
 
     run(scene())
 
