Metrics in place of Tally, over a fleet and on one core

Need: 'tally' stood for two classes that collect a run's metrics. Stored results keep their fields. No change of behaviour.

--- a/hoistplank/lab/fleet/__init__.py
+++ b/hoistplank/lab/fleet/__init__.py
@@ -1,1 +1,1 @@
-"""Several real processes with faults between them: relays, scenes, tallies over all dispatchers together."""
+"""Several real processes with faults between them: relays, scenes, metrics over all dispatchers together."""
--- a/hoistplank/lab/fleet/broken.py
+++ b/hoistplank/lab/fleet/broken.py
@@ -5,8 +5,8 @@
 from dataclasses import replace
 
 from hoistplank.interface import HostEntry
+from hoistplank.lab.fleet.metrics import FleetMetrics
 from hoistplank.lab.fleet.scene import Scene, read
-from hoistplank.lab.fleet.tally import Tally
 from hoistplank.lab.fleet.virtual import built
 from hoistplank.lab.model.clients import Visit
 from hoistplank.lab.policies import ByHash, Make, Plain, policy
@@ -67,7 +67,7 @@
         super().hosts_listed(now, form, [entry._replace(state="up") for entry in entries])
 
 
-class Forgetful(Tally):
+class Forgetful(FleetMetrics):
     """A rig that loses the end of one displaced try in three."""
 
     def answered(self, now: int, visit: Visit, how: str) -> None:
@@ -95,9 +95,9 @@
     return lambda site, seed, world: kind(site, seed)
 
 
-def _holds(scene: Scene, tally: Tally) -> bool:
+def _holds(scene: Scene, metrics: FleetMetrics) -> bool:
     bound = scene.bounds[0]
-    figure = tally.measure(bound.measure, bound.place, bound.low, bound.high)
+    figure = metrics.measure(bound.measure, bound.place, bound.low, bound.high)
     return figure > bound.value if bound.above else figure < bound.value
 
 
@@ -106,15 +106,15 @@
     found = {}
     for name, (bound, kind) in FLEET.items():
         scene = read(TEXT.format(name=name, bound=bound).encode(), name)
-        world, tally = built(scene, seed, policy("module"))
+        world, metrics = built(scene, seed, policy("module"))
         world.run()
         broken, its = built(scene, seed, _made(kind))
         broken.run()
-        found[name] = _holds(scene, tally), not _holds(scene, its)
+        found[name] = _holds(scene, metrics), not _holds(scene, its)
     scene = read(TEXT.format(name="forgetful", bound="earned above 0").encode(), "forgetful")
-    world, tally = built(scene, seed, policy("module"))
+    world, metrics = built(scene, seed, policy("module"))
     world.run()
     lossy, losing = built(scene, seed, policy("module"), Forgetful)
     lossy.run()
-    found["forgetful"] = not tally.unaccounted(), bool(losing.unaccounted())
+    found["forgetful"] = not metrics.unaccounted(), bool(losing.unaccounted())
     return found
--- a/hoistplank/lab/fleet/tally.py
+++ b/hoistplank/lab/fleet/metrics.py
@@ -1,9 +1,8 @@
-"""What all dispatchers did together, by the world's truth: utility by location, what became of displaced
-visits, what is shared against its whole, fairness, attempts for each first try, how long wrong choices
-lasted.
+"""Metrics of a whole fleet, from the world's own events and samples: utility by location, the outcome of
+displaced visits, use of shared things against their whole, fairness, attempts for each first try, and how
+long wrong choices lasted.
 
-It hears the world's events and samples; nothing here is a dispatcher's own word. No I/O, no clock; times
-are whole microseconds of the world.
+No dispatcher reports any of it. No I/O, no clock; times are whole microseconds of the world.
 """
 
 from __future__ import annotations
@@ -73,8 +72,8 @@
         self.by_time.append(round(held / self.whole, 3) if self.whole else 0.0)
 
 
-class Tally:
-    """An ear of the world; `zones` are those of the dispatchers by their numbers."""
+class FleetMetrics:
+    """Collects the metrics as an observer of the world; `zones` are the dispatchers', by their numbers."""
 
     def __init__(self, shape: Shape, zones: list[int]) -> None:
         bins = int(shape.seconds * S / BIN) + 1
--- a/hoistplank/lab/fleet/pages.py
+++ b/hoistplank/lab/fleet/pages.py
@@ -10,7 +10,7 @@
 import matplotlib.pyplot as plt
 from matplotlib.axes import Axes
 
-from hoistplank.lab.fleet.tally import BIN
+from hoistplank.lab.fleet.metrics import BIN
 from hoistplank.lab.fleet.virtual import SAMPLE_US
 from hoistplank.lab.model.shape import S
 from hoistplank.lab.report import STYLE, Rows, cells_of, svg
--- a/hoistplank/lab/fleet/processes.py
+++ b/hoistplank/lab/fleet/processes.py
@@ -10,9 +10,9 @@
 from typing import Any
 
 from hoistplank.lab.drives.sockets import Day, SocketSeat
+from hoistplank.lab.fleet.metrics import FleetMetrics
 from hoistplank.lab.fleet.relays import RelayLost, Relays
 from hoistplank.lab.fleet.scene import Scene
-from hoistplank.lab.fleet.tally import Tally
 from hoistplank.lab.fleet.troubles import Direction, FleetTroubles, sibling_paths
 from hoistplank.lab.fleet.virtual import VirtualPaths, watched
 from hoistplank.lab.model.servers import Server
@@ -75,19 +75,19 @@
 
 
 class FleetDay(Day):
-    """One scene. `play` runs it to its end; `tally` holds what all did together."""
+    """One scene. `play` runs it to its end; `metrics` holds what all did together."""
 
     def __init__(self, scene: Scene, seed: int, folder: File, beside: File) -> None:
         self.scene, self.beside, self.failed = scene, beside, list[str]()
         super().__init__(scene.shape(), seed, [], folder)
         self.relays = Relays()
         self.world.truth.answers.slack_us = SLACK_US
-        self.tally = Tally(self.world.shape, [seat.zone for seat in self.seats])
+        self.metrics = FleetMetrics(self.world.shape, [seat.zone for seat in self.seats])
         self.rows = scene.rows()
         # What the change log tells is held here, not in a relay, so that the truth knows when it was told.
         self.log_paths = self.world.paths = VirtualPaths(self.world)
-        watched(self.world, self.tally)
-        FleetTroubles(self.world, self.rows, self, self.tally).begin()
+        watched(self.world, self.metrics)
+        FleetTroubles(self.world, self.rows, self, self.metrics).begin()
 
     def seat(self, number: int, zone: int) -> SocketSeat:
         seat = FleetSeat(self, number, zone)
--- a/hoistplank/lab/fleet/troubles.py
+++ b/hoistplank/lab/fleet/troubles.py
@@ -4,8 +4,8 @@
 
 from typing import Any, Protocol
 
+from hoistplank.lab.fleet.metrics import FleetMetrics
 from hoistplank.lab.fleet.scene import DATAGRAMS, KINDS, PARTY, WHO
-from hoistplank.lab.fleet.tally import Tally
 from hoistplank.lab.model.faults import Event, Troubles
 from hoistplank.lab.model.shape import HUB
 from hoistplank.lab.model.world import Move, Seat, World
@@ -35,9 +35,9 @@
 
     kinds = KINDS
 
-    def __init__(self, world: World, rows: list[Event], hands: Hands, tally: Tally) -> None:
+    def __init__(self, world: World, rows: list[Event], hands: Hands, metrics: FleetMetrics) -> None:
         super().__init__(world, rows)
-        self.hands, self.tally = hands, tally
+        self.hands, self.metrics = hands, metrics
 
     def _struck(self, kind: Kind, value: Any) -> Any:
         return self._who(value) if kind is WHO else super()._struck(kind, value)
@@ -148,7 +148,7 @@
         for party, rest in ((one, other), (other, one)):
             seats = self._dispatchers(party)
             if seats is not None and rest not in ("clients", "log") and self._dispatchers(rest) is None:
-                self.tally.struck(self.agenda.now, length, self._servers(rest), text, seats)
+                self.metrics.struck(self.agenda.now, length, self._servers(rest), text, seats)
 
     def _cut(self, one: str, other: str, length: int) -> None:
         super()._cut(one, other, length)
@@ -159,7 +159,7 @@
                 for pair in ((party, far), (far, party)):
                     self._set(*pair, length, silent=True)
                 seats = self._dispatchers(party)
-                self.tally.struck(self.agenda.now, length, self._servers(far), f"cut {one} {other}", seats)
+                self.metrics.struck(self.agenda.now, length, self._servers(far), f"cut {one} {other}", seats)
 
     # Dispatcher processes.
 
@@ -200,7 +200,7 @@
         if what == "link":
             self._cut(place, HUB, length)
         if what in ("caches", "all"):
-            self.tally.struck(self.agenda.now, length, [host.uid for host in hosts], f"gone {place} {what}")
+            self.metrics.struck(self.agenda.now, length, [host.uid for host in hosts], f"gone {place} {what}")
             self._vanish(hosts, length, noticed)
         if what in ("dispatchers", "all"):
             self._down(self._who(place), length)
@@ -208,7 +208,7 @@
     def _hub(self, name: str, length: int, noticed: int) -> None:
         parents, half = self.world.parents, (len(self.world.parents) + 1) // 2
         hosts = parents[:half] if name == "h0" else parents[half:]
-        self.tally.struck(self.agenda.now, length, [host.uid for host in hosts], f"hub {name}")
+        self.metrics.struck(self.agenda.now, length, [host.uid for host in hosts], f"hub {name}")
         self._vanish([*hosts], length, noticed)
 
     def _flap(self, place: str, what: str, on: int, off: int, length: int) -> None:
--- a/hoistplank/lab/fleet/virtual.py
+++ b/hoistplank/lab/fleet/virtual.py
@@ -1,4 +1,4 @@
-"""A scene in virtual time: the same world, faults and tally over Routers whose clock jumps."""
+"""A scene in virtual time: the same world, faults and metrics over Routers whose clock jumps."""
 
 from __future__ import annotations
 
@@ -6,9 +6,9 @@
 from typing import Any
 
 from hoistplank.lab.drives.virtual import VirtualSeat
+from hoistplank.lab.fleet.metrics import FleetMetrics
 from hoistplank.lab.fleet.path_conditions import UNIMPAIRED, StreamDirection, chance
 from hoistplank.lab.fleet.scene import Scene
-from hoistplank.lab.fleet.tally import Tally
 from hoistplank.lab.fleet.troubles import Direction, FleetTroubles
 from hoistplank.lab.model.world import Seat, World
 from hoistplank.lab.policies import Make
@@ -69,34 +69,36 @@
         raise OnlyProcesses("starve")
 
 
-def watched(world: World, tally: Tally) -> None:
-    """Has the tally hear of everything, and sample what is shared, to the day's end."""
-    world.clients.ear, world.truth.drains.heard = tally, tally.attempt
+def watched(world: World, metrics: FleetMetrics) -> None:
+    """Has the metrics hear of everything, and sample what is shared, to the day's end."""
+    world.clients.ear, world.truth.drains.heard = metrics, metrics.attempt
 
     def sample() -> None:
         now = world.agenda.now
         if now >= world.shape.start_us():
             for zone, link in enumerate(world.zone_links):
-                tally.sample(f"link z{zone}", link.room * link.share, [float(link.open)])
+                metrics.sample(f"link z{zone}", link.room * link.share, [float(link.open)])
             for one in world.parents:
-                tally.sample(f"link {one.uid}", one.link.room * one.link.share, [float(one.link.open)])
-            tally.sample("cold hosts", 1.0, [world.truth.colds.fullest(now)])
-            tally.sample("origin", float(len(world.origin.free)), [float(len(world.origin.open))])
+                metrics.sample(f"link {one.uid}", one.link.room * one.link.share, [float(one.link.open)])
+            metrics.sample("cold hosts", 1.0, [world.truth.colds.fullest(now)])
+            metrics.sample("origin", float(len(world.origin.free)), [float(len(world.origin.open))])
         if now < world.shape.last_us():
             world.agenda.at(now + SAMPLE_US, sample)
 
     world.agenda.at(0, sample)
 
 
-def built(scene: Scene, seed: int, make: Make, ear: type[Tally] = Tally) -> tuple[World, Tally]:
-    """A scene's world and tally, ready for `run`. Raises OnlyProcesses."""
+def built(
+    scene: Scene, seed: int, make: Make, ear: type[FleetMetrics] = FleetMetrics
+) -> tuple[World, FleetMetrics]:
+    """A scene's world and metrics, ready for `run`. Raises OnlyProcesses."""
     if "virtual" not in scene.drives:
         raise OnlyProcesses(scene.name)
     world = World(scene.shape(), seed)
     paths = world.paths = VirtualPaths(world)
     zones = [number % scene.locations for number in range(scene.locations * scene.dispatchers)]
-    tally = ear(world.shape, zones)
+    metrics = ear(world.shape, zones)
     world.seats.extend(VirtualSeat(world, number, zone, make) for number, zone in enumerate(zones))
-    FleetTroubles(world, scene.rows(), paths, tally).begin()
-    watched(world, tally)
-    return world, tally
+    FleetTroubles(world, scene.rows(), paths, metrics).begin()
+    watched(world, metrics)
+    return world, metrics
--- a/hoistplank/lab/fleet/work.py
+++ b/hoistplank/lab/fleet/work.py
@@ -20,8 +20,8 @@
 from hoistplank.lab.drives.sockets import TooLate
 from hoistplank.lab.experiment import Cell
 from hoistplank.lab.fleet import processes, virtual
+from hoistplank.lab.fleet.metrics import FleetMetrics
 from hoistplank.lab.fleet.scene import Bound, Scene, lasts
-from hoistplank.lab.fleet.tally import Tally
 from hoistplank.lab.model.shape import S
 from hoistplank.lab.model.world import World
 from hoistplank.lab.policies import UnknownPolicy, policy
@@ -45,16 +45,16 @@
     keep: bool = False
 
 
-def held(bound: Bound, world: World, tally: Tally) -> tuple[float, bool]:
+def held(bound: Bound, world: World, metrics: FleetMetrics) -> tuple[float, bool]:
     """A bound's figure, and whether it holds."""
     if bound.measure == "cold":
         figure = world.truth.colds.worst
     else:
-        figure = tally.measure(bound.measure, bound.place, bound.low, bound.high)
+        figure = metrics.measure(bound.measure, bound.place, bound.low, bound.high)
     return figure, figure > bound.value if bound.above else figure < bound.value
 
 
-def told(job: Job, world: World, tally: Tally, took_s: float, rig: dict[str, Any]) -> dict[str, Any]:
+def told(job: Job, world: World, metrics: FleetMetrics, took_s: float, rig: dict[str, Any]) -> dict[str, Any]:
     """All that a report and a verdict need of a run; plain values."""
     scene = job.scene
     size, rate = scene.locations * scene.caches, scene.rate / scene.caches
@@ -72,12 +72,12 @@
         job.drive,
         scene.warm,
     )
-    checked = [(str(bound), *held(bound, world, tally)) for bound in scene.bounds]
+    checked = [(str(bound), *held(bound, world, metrics)) for bound in scene.bounds]
     bounds = [{"bound": name, "figure": round(value, 4), "holds": good} for name, value, good in checked]
     breaches = [
         f"rule {row.rule} at {row.at / S - scene.warm:.2f} s: {row.what}" for row in world.truth.breaches
     ]
-    failures = breaches + tally.unaccounted()
+    failures = breaches + metrics.unaccounted()
     failures += [f"{name}: {figure:.4f}" for name, figure, good in checked if not good]
     return {
         **result(cell, world, took_s),
@@ -86,9 +86,9 @@
         "drive": job.drive,
         "seed": job.seed,
         "policy": job.policy,
-        "visits": tally.firsts,
+        "visits": metrics.firsts,
         "failures": failures,
-        "fleet": tally.figures()
+        "fleet": metrics.figures()
         | {
             "marks": [[row.at / S, (row.at + lasts(row)) / S, row.text] for row in scene.rows()],
             "bounds": bounds,
@@ -101,9 +101,9 @@
     """The result of a job, a void or broken run's too. Raises UnknownPolicy, OnlyProcesses."""
     began = time.perf_counter()
     if job.drive == "virtual":
-        world, tally = virtual.built(job.scene, job.seed, policy(job.policy))
+        world, metrics = virtual.built(job.scene, job.seed, policy(job.policy))
         world.run()
-        return told(job, world, tally, time.perf_counter() - began, {})
+        return told(job, world, metrics, time.perf_counter() - began, {})
     name = {"scene": job.scene.name, "drive": job.drive, "seed": job.seed, "policy": job.policy}
     place = Path(job.folder) / f"{job.scene.name}-{job.seed}"
     place.mkdir(parents=True)
@@ -120,7 +120,7 @@
                 with contextlib.suppress(OSError):
                     Path(job.folder).rmdir()  # the last one out, since its runner is gone
     rig |= {"late_us": day.late_us(), "relays_late_us": rig.get("late_us", {})}
-    return told(job, day.world, day.tally, time.perf_counter() - began, rig)
+    return told(job, day.world, day.metrics, time.perf_counter() - began, rig)
 
 
 def _end_with_input(folder: str) -> None:
--- a/hoistplank/lab/model/core.py
+++ b/hoistplank/lab/model/core.py
@@ -38,7 +38,9 @@
 
 
 @dataclass(slots=True)
-class Tally:
+class CoreMetrics:
+    """What was counted on one core: visits by their end, the loop's lags (us) and the admission's limits."""
+
     offered: int = 0
     served: int = 0
     in_target: int = 0
@@ -65,7 +67,7 @@
         self.now, self.open, self.turn, self.backlog = 0, 0, 0, 0.0
         self.work: deque[tuple[str, int, float]] = deque()  # what, when its visit came, what it costs
         self.events: list[tuple[int, int, str, int]] = []
-        self.tally = Tally()
+        self.metrics = CoreMetrics()
 
     def _cost(self, mean: float) -> float:
         spread = self.costs.spread
@@ -85,8 +87,8 @@
         if len(self.work) == 1:
             self._at(self.now + int(cost), "done", came)
 
-    def run(self, until_us: int, tick_us: int = 1_000) -> Tally:
-        """Plays until `until_us`; what was counted is in the tally."""
+    def run(self, until_us: int, tick_us: int = 1_000) -> CoreMetrics:
+        """Plays until `until_us`; returns what was counted."""
         self._at(0, "arrive", 0)
         self._at(tick_us, "tick", 0)
         costs = self.costs
@@ -100,21 +102,21 @@
                     0,
                 )
                 if rate > 0:
-                    self.tally.offered += 1
+                    self.metrics.offered += 1
                     self._queue("read", self.now, costs.read_us)
             elif kind == "tick":
                 # The owner's turn: its timer stands behind all the work that was queued before it.
                 lag = int(self.backlog)
-                self.tally.lags.append(lag)
+                self.metrics.lags.append(lag)
                 if self.admission is not None:
                     self.admission.observe(self.now, lag, self.open, len(self.work))
-                    self.tally.limits.append(self.admission.limit)
+                    self.metrics.limits.append(self.admission.limit)
                 self._at(self.now + tick_us, "tick", 0)
             elif kind == "host":
                 self._queue("answer", came, costs.serve_us)
             else:
                 self._done()
-        return self.tally
+        return self.metrics
 
     def _done(self) -> None:
         kind, came, cost = self.work.popleft()
@@ -123,14 +125,14 @@
             self.open += 1
             self._at(self.now + self.costs.host_us, "host", came)
         elif kind == "read":
-            self.tally.refused += 1
-            self.tally.last_refused_us = self.now
+            self.metrics.refused += 1
+            self.metrics.last_refused_us = self.now
             cost = self._cost(self.costs.refuse_us)  # written at once, before what waits
             self.work.appendleft(("refuse", came, cost))
             self.backlog += cost
         elif kind == "answer":
             self.open -= 1
-            self.tally.served += 1
-            self.tally.in_target += self.now - came <= self.costs.target_us
+            self.metrics.served += 1
+            self.metrics.in_target += self.now - came <= self.costs.target_us
         if self.work:
             self._at(self.now + int(self.work[0][2]), "done", self.work[0][1])
--- a/hoistplank/lab/results.py
+++ b/hoistplank/lab/results.py
@@ -52,7 +52,7 @@
         ("events", pa.int64()),
         ("took_s", pa.float32()),
         ("digest", pa.string()),
-        ("fleet", pa.string()),  # JSON: what a scene of the fleet tells beside (`lab/fleet/tally.py`)
+        ("fleet", pa.string()),  # JSON: what a scene of the fleet tells beside (`lab/fleet/metrics.py`)
     ],
     metadata={VERSION: str(LAYOUT).encode()},
 )
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -21,6 +21,7 @@
 
 from hoistplank.cli.main import main
 from hoistplank.lab.fleet import broken, processes, runner, virtual, work
+from hoistplank.lab.fleet.metrics import FleetMetrics, Shared, jain
 from hoistplank.lab.fleet.path_conditions import (
     UNIMPAIRED,
     DatagramDirection,
@@ -30,7 +31,6 @@
 )
 from hoistplank.lab.fleet.relays import Relays
 from hoistplank.lab.fleet.scene import Scene, lasts, read
-from hoistplank.lab.fleet.tally import Shared, Tally, jain
 from hoistplank.lab.fleet.work import Job, told
 from hoistplank.lab.model.shape import S
 from hoistplank.lab.policies import policy
@@ -388,17 +388,17 @@
 @pytest.mark.parametrize("name", PLAYED)
 def test_scenes_hold_in_virtual_time(name: str) -> None:
     job = Job(scene=by_name(name), drive="virtual", seed=1, folder="", beside="")
-    world, tally = virtual.built(job.scene, 1, policy("module"))
+    world, metrics = virtual.built(job.scene, 1, policy("module"))
     world.run()
-    found = told(job, world, tally, 0.0, {})
+    found = told(job, world, metrics, 0.0, {})
     assert found["failures"] == [] and found["visits"] > 100
 
 
 def test_one_seed_gives_one_trace_and_another_seed_another_one() -> None:
     def trace(seed: int) -> Any:
-        world, tally = virtual.built(by_name("place-lost"), seed, policy("module"))
+        world, metrics = virtual.built(by_name("place-lost"), seed, policy("module"))
         world.run()
-        return tally.figures()
+        return metrics.figures()
 
     assert trace(1) == trace(1) != trace(2)
 
@@ -408,19 +408,21 @@
     calm, usual = virtual.built(read(b"(scene a (seconds 4s) (warm 2s))", "a"), 1, policy("module"))
     calm.run()
     for fault in ("hush z0 d0 for 2s", "freeze d0 for 2s", "hush clients d0 for 2s"):
-        world, tally = virtual.built(read(text.format(fault).encode(), "a"), 1, policy("module"))
+        world, metrics = virtual.built(read(text.format(fault).encode(), "a"), 1, policy("module"))
         late = [0]
 
-        def answered(now: int, visit: Any, how: str, tally: Tally = tally, late: list[int] = late) -> None:
+        def answered(
+            now: int, visit: Any, how: str, metrics: FleetMetrics = metrics, late: list[int] = late
+        ) -> None:
             if visit.seat == 0 and 3_050_000 < now < 4_900_000 and how == "served":
                 late[0] += 1
-            Tally.answered(tally, now, visit, how)
+            FleetMetrics.answered(metrics, now, visit, how)
 
-        tally.answered = answered  # type: ignore[method-assign]
+        metrics.answered = answered  # type: ignore[method-assign]
         world.run()
         # The others go on; of this one nothing comes, or nothing of its caches.
-        assert sum(world.truth.counts.values()) == 0 and tally.unaccounted() == []
-        assert tally.by_seat[0][1] < usual.by_seat[0][1], fault
+        assert sum(world.truth.counts.values()) == 0 and metrics.unaccounted() == []
+        assert metrics.by_seat[0][1] < usual.by_seat[0][1], fault
         if fault.startswith("freeze"):
             assert late[0] == 0, fault
 
@@ -528,7 +530,7 @@
         monkeypatch.setattr("hoistplank.lab.drives.sockets.free_port", port)
         scene = read(SMALL.format("").encode(), "s")
         day, rig = processes.play(scene, 1, tmp_path, tmp_path)
-    assert len(asked) == 3 and rig["chunks"] > 0 and day.tally.firsts > 0
+    assert len(asked) == 3 and rig["chunks"] > 0 and day.metrics.firsts > 0
 
 
 @pytest.mark.parametrize("how", [signal.SIGINT, signal.SIGTERM, signal.SIGKILL])
--- a/tests/test_levels.py
+++ b/tests/test_levels.py
@@ -260,8 +260,8 @@
 ) -> tuple[float, Core]:
     admission = Admission(Bounds(target_us=25_000, least=8, most=4_000)) if controlled else None
     core = Core(costs, admission, Random(seed), rates or [(0, load * costs.carried())])
-    tally = core.run(seconds * S)
-    return tally.goodput(seconds) / costs.carried(), core
+    metrics = core.run(seconds * S)
+    return metrics.goodput(seconds) / costs.carried(), core
 
 
 COSTS = Costs(read_us=15.0, refuse_us=10.0, serve_us=285.0)  # a rejecting as the door does it
@@ -279,18 +279,18 @@
 ) -> None:
     costs = Costs(read_us=15.0, refuse_us=10.0, serve_us=285.0, spread=spread)
     share, core = played(load, 10, seed, costs)
-    tally = core.tally
+    metrics = core.metrics
     # The most that can be served when all the rest is rejected: what rejecting leaves of the core.
     refusing = (costs.read_us + costs.refuse_us) / (costs.read_us + costs.serve_us)
     best = (1 - load * refusing) / (1 - refusing)
     assert share >= 0.95 * best, (share, best, load, spread, seed)
-    settled = tally.limits[len(tally.limits) // 2 :]
+    settled = metrics.limits[len(metrics.limits) // 2 :]
     # Once settled, the bound moves within a band, and the loop's lag stays within two targets.
     assert max(settled) <= 2.5 * min(settled), (min(settled), max(settled))
-    lags = sorted(tally.lags[len(tally.lags) // 2 :])
+    lags = sorted(metrics.lags[len(metrics.lags) // 2 :])
     assert lags[int(len(lags) * 0.99)] <= 2 * 25_000, lags[int(len(lags) * 0.99)]
     # The step from nothing to the whole load costs some tenths of a second of lag at most, once.
-    assert max(tally.lags) <= 250_000, max(tally.lags)
+    assert max(metrics.lags) <= 250_000, max(metrics.lags)
 
 
 @settings(max_examples=8, deadline=None)
@@ -298,10 +298,10 @@
 def test_after_the_rush_nothing_is_turned_back_within_seconds(load: float, seed: int) -> None:
     rates = [(0, load * COSTS.carried()), (10 * S, 0.5 * COSTS.carried())]
     _, core = played(load, 20, seed, COSTS, rates=rates)
-    tally = core.tally
-    assert min(tally.limits) < 4_000 and tally.refused > 0  # it did bind in the rush
-    assert 10 * S <= tally.last_refused_us <= 13 * S, tally.last_refused_us
-    assert tally.lag_us(0.5) < 25_000
+    metrics = core.metrics
+    assert min(metrics.limits) < 4_000 and metrics.refused > 0  # it did bind in the rush
+    assert 10 * S <= metrics.last_refused_us <= 13 * S, metrics.last_refused_us
+    assert metrics.lag_us(0.5) < 25_000
 
 
 # What the Router does with each effect.
