--- a/hoistplank/lab/fleet/troubles.py
+++ b/hoistplank/lab/fleet/troubles.py
@@ -4,23 +4,23 @@
 
 from typing import Any, Protocol
 
+from hoistplank.lab.fleet.metrics import FleetMetrics
 from hoistplank.lab.fleet.scene import DATAGRAMS, KINDS, PARTY, WHO
-from hoistplank.lab.fleet.tally import Tally
 from hoistplank.lab.model.faults import Event, Troubles
 from hoistplank.lab.model.shape import HUB
 from hoistplank.lab.model.world import Move, Seat, World
 from hoistplank.operator.schema import Kind
 
-Path = tuple[str, bool]  # a way's name, and whether it is the direction back to the near party
+Direction = tuple[str, bool]  # a path's name, and whether it is the direction back to the near party
 
 
 class Hands(Protocol):
     """What a drive does to paths and processes."""
 
-    def turn(self, paths: list[Path], **terms: Any) -> None:
-        """Other terms (see `ways.Terms`) for these directions."""
+    def set_conditions(self, directions: list[Direction], **conditions: Any) -> None:
+        """Other conditions (see `PathConditions`) for these directions."""
 
-    def tell(self, ways: list[str], do: str) -> None:
+    def tell(self, paths: list[str], do: str) -> None:
         """`shut`, `open` or `deaden`, both directions. Processes only."""
 
     def older(self, seat: Seat, file: str, down_us: int) -> None:
@@ -35,9 +35,9 @@
 
     kinds = KINDS
 
-    def __init__(self, world: World, rows: list[Event], hands: Hands, tally: Tally) -> None:
+    def __init__(self, world: World, rows: list[Event], hands: Hands, metrics: FleetMetrics) -> None:
         super().__init__(world, rows)
-        self.hands, self.tally = hands, tally
+        self.hands, self.metrics = hands, metrics
 
     def _struck(self, kind: Kind, value: Any) -> Any:
         return self._who(value) if kind is WHO else super()._struck(kind, value)
@@ -72,7 +72,7 @@
             return [one.uid for one in world.caches if one.zone == party]
         return [party]  # a host, the origin or the log
 
-    def paths(self, one: str, other: str) -> list[Path]:
+    def directions(self, one: str, other: str) -> list[Direction]:
         """The directions that lead from one party to another."""
         ours, theirs = self._dispatchers(one), self._dispatchers(other)
         if ours is not None and theirs is not None:
@@ -84,14 +84,14 @@
             return [(f"clients>d{n}", not back) for n in many]
         return [(f"d{n}>{uid}", back) for n in many for uid in self._servers(party)]
 
-    def _set(self, one: str, other: str, length: int, **terms: Any) -> None:
-        paths = self.paths(one, other)
-        self._blind([name for name, _ in paths], length)
-        self.hands.turn(paths, **terms)
-        plain = {name: False if value is True else type(value)() for name, value in terms.items()}
+    def _set(self, one: str, other: str, length: int, **conditions: Any) -> None:
+        directions = self.directions(one, other)
+        self._blind([name for name, _ in directions], length)
+        self.hands.set_conditions(directions, **conditions)
+        plain = {name: False if value is True else type(value)() for name, value in conditions.items()}
 
         def over() -> None:
-            self.hands.turn(paths, **plain)
+            self.hands.set_conditions(directions, **plain)
 
         self._later(length, over)
 
@@ -107,13 +107,13 @@
 
     def _break(self, one: str, other: str, length: int) -> None:
         self._wrong(one, other, length, f"break {one} {other}")
-        names = [name for name, _ in self.paths(one, other)]
+        names = [name for name, _ in self.directions(one, other)]
         self._blind(names, length)
         self.hands.tell(names, "shut")
         self._later(length, self.hands.tell, names, "open")
 
     def _halfway(self, one: str, other: str) -> None:
-        names = [name for name, _ in self.paths(one, other)]
+        names = [name for name, _ in self.directions(one, other)]
         self._blind(names, 1)
         self.hands.tell(names, "deaden")
 
@@ -148,7 +148,7 @@
         for party, rest in ((one, other), (other, one)):
             seats = self._dispatchers(party)
             if seats is not None and rest not in ("clients", "log") and self._dispatchers(rest) is None:
-                self.tally.struck(self.agenda.now, length, self._servers(rest), text, seats)
+                self.metrics.struck(self.agenda.now, length, self._servers(rest), text, seats)
 
     def _cut(self, one: str, other: str, length: int) -> None:
         super()._cut(one, other, length)
@@ -159,7 +159,7 @@
                 for pair in ((party, far), (far, party)):
                     self._set(*pair, length, silent=True)
                 seats = self._dispatchers(party)
-                self.tally.struck(self.agenda.now, length, self._servers(far), f"cut {one} {other}", seats)
+                self.metrics.struck(self.agenda.now, length, self._servers(far), f"cut {one} {other}", seats)
 
     # Dispatcher processes.
 
@@ -200,7 +200,7 @@
         if what == "link":
             self._cut(place, HUB, length)
         if what in ("caches", "all"):
-            self.tally.struck(self.agenda.now, length, [host.uid for host in hosts], f"gone {place} {what}")
+            self.metrics.struck(self.agenda.now, length, [host.uid for host in hosts], f"gone {place} {what}")
             self._vanish(hosts, length, noticed)
         if what in ("dispatchers", "all"):
             self._down(self._who(place), length)
@@ -208,7 +208,7 @@
     def _hub(self, name: str, length: int, noticed: int) -> None:
         parents, half = self.world.parents, (len(self.world.parents) + 1) // 2
         hosts = parents[:half] if name == "h0" else parents[half:]
-        self.tally.struck(self.agenda.now, length, [host.uid for host in hosts], f"hub {name}")
+        self.metrics.struck(self.agenda.now, length, [host.uid for host in hosts], f"hub {name}")
         self._vanish([*hosts], length, noticed)
 
     def _flap(self, place: str, what: str, on: int, off: int, length: int) -> None:
@@ -240,7 +240,7 @@
 
 
 def sibling_paths(rows: list[Event]) -> bool:
-    """Whether a script has faults between dispatchers, so that ways between them are to be opened."""
+    """Whether a script has faults between dispatchers, so that paths between them are to be opened."""
     return any(
         row.kind in DATAGRAMS or all(str(value).startswith("d") for value in row.values[:2])
         for row in rows
