--- a/hoistplank/lab/scale/hollow_audit.py
+++ b/hoistplank/lab/scale/hollow_audit.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from hoistplank.choice import Router
+from hoistplank.choice import ALL_OBJECTS, Router
 from hoistplank.lab.scale.hollow import Position
 from hoistplank.lab.scale.hollow_messages import Expect
 
@@ -29,11 +29,10 @@
     def knows(self, position: Position) -> bool:
         return position.number <= self.newest.get(position.epoch, 0)
 
-    def missing(self, router: Router, before: Position, now: Position, now_us: int) -> list[tuple[int, str]]:
+    def missing(self, router: Router, before: Position, now: Position) -> list[tuple[int, str]]:
         """Of the events after `before` up to `now`, those that are not in force: number and what is wrong.
 
-        `now_us`: Unix time by the dispatcher's clock. Where several events speak of one host, the last one
-        counts.
+        Where several events speak of one host, the last one counts.
         """
         first = before.number + 1 if before.epoch == now.epoch else 1
         rows = [self.expected.get((now.epoch, number)) for number in range(first, now.number + 1)]
@@ -42,7 +41,7 @@
         latest = {state.host: event.number for event in events for state in event.hosts}
         wrong: list[tuple[int, str]] = []
         for event in events:
-            if event.purged and not self._purge_in_force(router, event, now_us):
+            if event.purged and not self._purge_in_force(router, event):
                 wrong.append((event.number, f"purge of {event.purged}"))
             for state in event.hosts:
                 if latest[state.host] != event.number:
@@ -52,10 +51,9 @@
                 wrong.append((event.number, f"host {state.host} {state.state}"))
         return wrong
 
-    def _purge_in_force(self, router: Router, event: Expect, now_us: int) -> bool:
-        # A purge older than the horizon may be forgotten in the turn in which it is heard.
-        forgotten = event.made_us < now_us - router.floors_us
-        return forgotten or router.floors.get(event.purged, 0) >= event.made_us
+    def _purge_in_force(self, router: Router, event: Expect) -> bool:
+        floors = [router.floors.get(key, (0, 0)) for key in (event.purged, ALL_OBJECTS)]
+        return max(made for made, _ in floors) >= event.made_us
 
     def _host_in_force(self, router: Router, host: str, state: str, started_us: int, units: float) -> bool:
         index = router.index.get(host)
--- a/hoistplank/lab/scale/hollow_process.py
+++ b/hoistplank/lab/scale/hollow_process.py
@@ -38,7 +38,6 @@
 )
 from hoistplank.lab.scale.run_lateness import Lateness
 from hoistplank.protocol.changelog import Known
-from hoistplank.routing.clock import Clock
 
 FLUSH_S = 0.1  # how often acknowledgements are handed on
 MOST_LINE = 1 << 26
@@ -66,7 +65,7 @@
         self.known = msgspec.convert(plan.known, Known)
         self.seats = {seat.number: seat for seat in plan.seats}
         self.dispatchers = {seat.number: self._dispatcher(seat) for seat in plan.seats}
-        self.auditor, self.clock, self.lateness = Auditor(), Clock(), Lateness()
+        self.auditor, self.lateness = Auditor(), Lateness()
         self.false_told = 0
         self.rows: tuple[list[int], list[int], list[int], list[int]] = ([], [], [], [])
         # Acknowledgements of events that are not known here yet.
@@ -95,7 +94,7 @@
         if dispatcher.owner is None:
             return
         router = dispatcher.owner.router
-        for number, what in self.auditor.missing(router, before, now, self.clock.now()):
+        for number, what in self.auditor.missing(router, before, now):
             self.false_told += 1
             if self.false_told <= MOST_FALSE:
                 self.report(FalseAcknowledgement(dispatcher.number, now.epoch, number, what))
--- a/hoistplank/lab/scale/run.py
+++ b/hoistplank/lab/scale/run.py
@@ -268,7 +268,7 @@
 
     def cut(self, sites: list[int], silent: bool) -> None:
         for back in (False, True):
-            self.relays.turn([self._path(site) for site in sites], back, silent=silent)
+            self.relays.set_conditions([self._path(site) for site in sites], back, silent=silent)
         self._mark([seat.number for seat in self.seats if seat.site in sites], silent)
 
     def refuse(self, sites: list[int], refused: bool) -> None:
--- a/tests/test_scale_run.py
+++ b/tests/test_scale_run.py
@@ -16,7 +16,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from hoistplank.choice import Router
+from hoistplank.choice import ALL_OBJECTS, Router
 from hoistplank.interface import HostEntry
 from hoistplank.lab.scale import run_broken
 from hoistplank.lab.scale.hollow import Position
@@ -176,26 +176,28 @@
         Expect(0, 5, hosts=[HostState("h", "gone", 7, 1.0)]),
     )
     told = Position(0, 1)
-    assert [number for number, _ in auditor.missing(router, told, Position(0, 3), now)] == [2, 3]
+    assert [number for number, _ in auditor.missing(router, told, Position(0, 3))] == [2, 3]
     router.purged(now, "ab", 0, 5)
-    assert [number for number, _ in auditor.missing(router, told, Position(0, 3), now)] == [3]
+    assert [number for number, _ in auditor.missing(router, told, Position(0, 3))] == [3]
     # An older purge of the same object is not enough.
     router.purged(now, "cd", 0, 6)
-    assert [number for number, _ in auditor.missing(router, told, Position(0, 3), now)] == [3]
+    assert [number for number, _ in auditor.missing(router, told, Position(0, 3))] == [3]
     # Of two events on one host the later one counts.
     router.hosts_listed(now, "whole", [HostEntry("h", "z0", "box", 0, 1.0, 7, "up")])
-    assert [number for number, _ in auditor.missing(router, Position(0, 3), Position(0, 5), now)] == [5]
+    assert [number for number, _ in auditor.missing(router, Position(0, 3), Position(0, 5))] == [5]
     router.hosts_listed(now, "changes", [HostEntry("h", "z0", "box", 0, 1.0, 7, "gone")])
-    assert auditor.missing(router, Position(0, 3), Position(0, 5), now) == []
+    assert auditor.missing(router, Position(0, 3), Position(0, 5)) == []
     assert auditor.knows(Position(0, 5)) and not auditor.knows(Position(0, 6))
     assert not auditor.knows(Position(1, 1))
 
 
-def test_audit_lets_a_purge_beyond_the_horizon_be_forgotten() -> None:
-    auditor, router = audited(Expect(0, 2, "ab", 50 * S))
-    late = 50 * S + router.floors_us
-    assert auditor.missing(router, Position(0, 1), Position(0, 2), late)
-    assert not auditor.missing(router, Position(0, 1), Position(0, 2), late + 1)
+def test_audit_takes_a_floor_under_all_objects_for_a_purge() -> None:
+    auditor, router = audited(Expect(0, 2, "ab", 50 * S), Expect(0, 3, "cd", 60 * S))
+    router.floors[ALL_OBJECTS] = (55 * S, 90 * S)
+    assert [number for number, _ in auditor.missing(router, Position(0, 1), Position(0, 3))] == [3]
+    # One that is heard long after it was made is in force all the same.
+    router.purged(60 * S + 2 * router.floors_us, "cd", 0, 2 * router.floors_us)
+    assert auditor.missing(router, Position(0, 2), Position(0, 3)) == []
 
 
 # Delays.
