--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 SETUP = test -d $(1) || python3 -m venv $(1)
 DEV = .venv-dev/bin
 
-.PHONY: build service lab dev test lint run demo bench-callers bench-store bench-discovery bench-lab bench-levels bench-xds bench-fleet control
+.PHONY: build service lab dev test lint run demo bench-callers bench-store bench-discovery bench-lab bench-levels bench-xds bench-fleet bench-scale control
 
 build:
 	$(call SETUP,.venv)
@@ -55,3 +55,6 @@
 
 bench-fleet: dev
 	$(DEV)/python -m benchmarks.fleet
+
+bench-scale: dev
+	$(DEV)/python -m benchmarks.scale
--- a/hoistplank/lab/scale/run.py
+++ b/hoistplank/lab/scale/run.py
@@ -247,7 +247,7 @@
         self.usage.own_late_us.append((now_us, self.lateness.taken()))
 
     def _line(self) -> str:
-        running = sum(row.running for row in self.usage.hollow[-len(self.children) :])
+        running = sum({row.process: row.running for row in self.usage.hollow}.values())
         seconds = self.now_us() / S
         return f"{seconds:.0f} s: {running} dispatchers, {len(self.deliveries.keys)} events told"
 
