--- a/hoistplank/lab/scale/replay.py
+++ b/hoistplank/lab/scale/replay.py
@@ -27,19 +27,24 @@
 class Teller:
     """The source's state: its epoch and number, and the cache hosts as they were last told.
 
-    A configuration change is told as a whole list of cache hosts with other capacities: the only
-    configuration that the change log carries to a running dispatcher.
+    A configuration change is told as other capacities of one zone's cache hosts: the only configuration that
+    the change log carries to a running dispatcher, and in size like an operator's file.
     """
 
     def __init__(self, fleet: Fleet) -> None:
         self.fleet, self.epoch, self.number = fleet, 0, 0
-        self.units = FIRST_UNITS
+        self.units = [FIRST_UNITS] * fleet.hosts
         self.boot_ms = [0] * fleet.hosts
         self.states = ["ready"] * fleet.hosts
 
     def first(self) -> Told:
         """The whole list, as the first event of an epoch."""
-        return self._whole(RENEWAL)
+        self.number += 1
+        listed = [host for host in range(self.fleet.hosts) if self.states[host] != "gone"]
+        rows = [*self.fleet.hub_rows(), *(self._row(host) for host in listed)]
+        states = [self._state(host) for host in range(self.fleet.hosts)]
+        expected = Expect(self.epoch, self.number, hosts=states)
+        return Told(RENEWAL, listing(self.number, rows, whole=True), expected)
 
     def begin_anew(self) -> Told:
         """The source has lost its state: it counts from 1 again."""
@@ -54,33 +59,28 @@
                 expected = Expect(self.epoch, self.number, thing, unix_ms * 1_000)
                 return Told(PURGE, event, expected)
             case Change(_, number):
-                self.units = FIRST_UNITS + number % STEPS_OF_UNITS
-                return self._whole(CHANGE)
+                return self._change(number)
             case HostStep(_, host, state):
                 self.states[host] = state
                 if state == "ready":
                     self.boot_ms[host] = unix_ms
-                self.number += 1
-                return Told(
-                    HOST,
-                    listing(self.number, [self._row(host)]),
-                    Expect(self.epoch, self.number, hosts=[self._state(host)]),
-                )
+                return self._listed(HOST, [host])
 
-    def _whole(self, kind: str) -> Told:
+    def _change(self, number: int) -> Told:
+        zones = self.fleet.zones
+        hosts = [host for host in range(self.fleet.hosts) if host % zones == number % zones]
+        for host in hosts:
+            self.units[host] = FIRST_UNITS + number % STEPS_OF_UNITS
+        return self._listed(CHANGE, [host for host in hosts if self.states[host] != "gone"])
+
+    def _listed(self, kind: str, hosts: list[int]) -> Told:
         self.number += 1
-        listed = [host for host in range(self.fleet.hosts) if self.states[host] != "gone"]
-        rows = [*self.fleet.hub_rows(), *(self._row(host) for host in listed)]
-        states = [self._state(host) for host in range(self.fleet.hosts)]
-        return Told(
-            kind,
-            listing(self.number, rows, whole=True),
-            Expect(self.epoch, self.number, hosts=states),
-        )
+        event = listing(self.number, [self._row(host) for host in hosts])
+        return Told(kind, event, Expect(self.epoch, self.number, hosts=[self._state(host) for host in hosts]))
 
     def _row(self, host: int) -> dict[str, Any]:
-        return self.fleet.host_row(host, self.boot_ms[host], self.units, self.states[host])
+        return self.fleet.host_row(host, self.boot_ms[host], self.units[host], self.states[host])
 
     def _state(self, host: int) -> HostState:
         name = str(self._row(host)["uid"])
-        return HostState(name, self.states[host], self.boot_ms[host] * 1_000, self.units)
+        return HostState(name, self.states[host], self.boot_ms[host] * 1_000, self.units[host])
--- a/hoistplank/lab/scale/run.py
+++ b/hoistplank/lab/scale/run.py
@@ -29,7 +29,7 @@
 from hoistplank.lab.scale.run_children import ChildLost, HollowChild, LogChild
 from hoistplank.lab.scale.run_delays import Deliveries
 from hoistplank.lab.scale.run_lateness import Lateness
-from hoistplank.lab.scale.run_usage import HollowSample, LogSample, UsageSeries
+from hoistplank.lab.scale.run_usage import LEAST_SHARED, HollowSample, LogSample, UsageSeries
 from hoistplank.lab.scale.scene import S, Scene
 from hoistplank.lab.scale.scene_schedule import Planned, schedule
 
@@ -236,7 +236,7 @@
                     cpu_s=used.cpu_s,
                     rss_kb=used.rss_kb,
                     running=used.running,
-                    late_us=used.late_us,
+                    late_us=used.late_us if len(child.numbers) >= LEAST_SHARED else [],
                     audited=used.audited,
                     reconnects=used.reconnects,
                 )
--- a/hoistplank/standins/changelog.py
+++ b/hoistplank/standins/changelog.py
@@ -49,6 +49,8 @@
             except TimeoutError:
                 if writer.is_closing():
                     return
+                if index < len(self.log):
+                    continue  # an event was told in the turn in which the time was over
                 # Its own number, also where the follower's is above it: it tells a log that began anew.
                 last = self.log[-1]["seq"] if self.log else at
                 writer.write(b'{"seq":%d}\n' % last)
