--- a/hoistplank/cli/lab.py
+++ b/hoistplank/cli/lab.py
@@ -15,6 +15,7 @@
 from rich.table import Table
 
 from hoistplank.cli.main import fail
+from hoistplank.cli.scale import scale
 from hoistplank.operator.faults import Faults
 
 ROOT = Path(__file__).resolve().parents[2]
@@ -32,6 +33,9 @@
     """
 
 
+lab.add_command(scale)
+
+
 def _console() -> Console:
     return Console(stderr=True)
 
--- /dev/null
+++ b/hoistplank/cli/scale.py
@@ -0,0 +1,138 @@
+"""`hoistplank lab scale`: what each role costs as slopes, and the tables of `docs/CAPACITY.md`."""
+
+from __future__ import annotations
+
+import platform
+import sys
+from datetime import UTC, datetime
+from pathlib import Path
+from typing import TYPE_CHECKING
+
+import click
+from rich.console import Console
+from rich.progress import BarColumn, Progress, TextColumn, TimeElapsedColumn
+
+from hoistplank.cli.main import EXTRAS, fail
+
+if TYPE_CHECKING:
+    from hoistplank.lab.scale.measurements import Measurement
+
+ROOT = Path(__file__).resolve().parents[2]
+RESULTS = ROOT / "docs" / "capacity"
+PAGE = ROOT / "docs" / "CAPACITY.md"
+SLOPES_FILE = "slopes.parquet"
+
+
+@click.group()
+def scale() -> None:
+    """Capacity of a fleet from measured slopes.
+
+    \b
+    Measure all slopes:      hoistplank lab scale slopes --out docs/capacity/slopes.parquet
+    Write the page's tables: hoistplank lab scale table
+    """
+
+
+@scale.command()
+@click.option("--quick", is_flag=True, help="Fewer repeats, and no load on a real dispatcher.")
+@click.option("--out", type=click.Path(dir_okay=False), required=True, help="The Parquet file to write.")
+def slopes(quick: bool, out: str) -> None:
+    """Measure every role at four sizes or more: some minutes, the quick form some 20 s."""
+    from hoistplank.lab.runner import revision
+    from hoistplank.lab.scale.children import ChildFailed
+    from hoistplank.lab.scale.measure import carried_out, steps
+    from hoistplank.lab.scale.measurements import RunInfo, write
+    from hoistplank.lab.scale.metering import QUICK, WHOLE, Step
+
+    try:
+        from hoistplank.xds import book, follower, service
+    except ModuleNotFoundError as error:
+        raise click.ClickException(f"the control service needs '{error.name}': {EXTRAS['control']}") from None
+    from hoistplank.lab.scale.role_control_service import ControlParts
+
+    parts = ControlParts(
+        book=book.Book,
+        host=book.Host,
+        follower=follower.Follower,
+        encoder=service.Encoder,
+        endpoint_type=book.ENDPOINT,
+        runtime_type=book.RUNTIME,
+        purges_name=book.PURGES,
+    )
+    effort = QUICK if quick else WHOLE
+    chosen = steps(parts, effort)
+    began_at = datetime.now(UTC).strftime("%Y-%m-%dT%H:%MZ")
+    form = "quick" if quick else "whole"
+    info = RunInfo(f"slopes {began_at}", revision(ROOT), platform.platform(), form)
+    columns = (TextColumn("{task.description}"), BarColumn(), TextColumn("{task.completed}/{task.total}"))
+    console = Console(stderr=True)
+    with Progress(*columns, TimeElapsedColumn(), console=console, transient=True) as progress:
+        task = progress.add_task("slopes", total=len(chosen))
+
+        def began(step: Step) -> None:
+            progress.update(task, description=f"{step.role}: {step.title}", completed=chosen.index(step))
+
+        try:
+            found = carried_out(chosen, effort, info.run, began)
+            write(Path(out), found, info)
+        except (ChildFailed, OSError) as error:
+            raise click.ClickException(str(error)) from None
+    click.echo(f"{out}: {len(found)} measurements in {len(chosen)} steps")
+
+
+def _measurements(folder: Path) -> list[Measurement]:
+    from hoistplank.lab.scale.measurements import BadMeasurements, read_folder
+
+    try:
+        found = read_folder(folder)
+    except BadMeasurements as error:
+        fail(str(error))
+        return []
+    if not found:
+        fail(f"{folder}: no results; 'hoistplank lab scale slopes --out {folder / SLOPES_FILE}' makes them")
+    return found
+
+
+_results = click.option(
+    "--results",
+    type=click.Path(file_okay=False, path_type=Path),
+    default=RESULTS,
+    help="The folder of committed results.",
+)
+
+
+@scale.command()
+@click.option("--check", is_flag=True, help="Write nothing; exit code 1 where page and results differ.")
+@click.option("--page", type=click.Path(dir_okay=False, path_type=Path), default=PAGE, help="The page.")
+@_results
+def table(check: bool, page: Path, results: Path) -> None:
+    """Write the tables of docs/CAPACITY.md from the committed results."""
+    from hoistplank.lab.scale.tables import BadPage, rewritten
+
+    found = _measurements(results)
+    try:
+        before = page.read_text()
+        after = rewritten(before, found)
+    except OSError as error:
+        return fail(f"{page}: can't be read ({error.strerror})")
+    except (BadPage, ValueError) as error:
+        return fail(f"{page.name}: {error}")
+    if check:
+        if before != after:
+            click.echo(f"{page.name} differs from its results: run 'hoistplank lab scale table'", err=True)
+            sys.exit(1)
+        click.echo(f"{page.name} agrees with its results")
+        return
+    page.write_text(after)
+    click.echo(f"{page.name}: tables written from {len(found)} measurements")
+
+
+@scale.command()
+@click.option("--out", type=click.Path(dir_okay=False, path_type=Path), default=Path("capacity.html"))
+@_results
+def report(out: Path, results: Path) -> None:
+    """Write one HTML page with a plot of each slope and its budget."""
+    from hoistplank.lab.scale.page import page
+
+    out.write_text(page(_measurements(results)))
+    click.echo(str(out))
--- /dev/null
+++ b/hoistplank/lab/scale/role_data_path.py
@@ -0,0 +1,48 @@
+"""What an answer costs a real dispatcher by its size: processor time a request, under load on loopback."""
+
+from __future__ import annotations
+
+import tempfile
+from pathlib import Path
+
+from hoistplank.lab.load.crew import load
+from hoistplank.lab.load.plan import Step as LoadStep
+from hoistplank.lab.load.plan import mixes
+from hoistplank.lab.profile import cpu_s
+from hoistplank.lab.scale.measurements import Measurement
+from hoistplank.lab.scale.metering import MICROSECONDS, Effort, Quantity, Step, awaited, series
+from hoistplank.standins.deployment import Deployment
+
+ROLE = "data path"
+ANSWER_BYTES = (20_000, 80_000, 160_000, 239_000)
+RATE = 120.0
+SECONDS = 4.0
+REPEATS = 2
+TRACKS = "page=1"
+OBJECTS = 200
+LATE_MS = 50.0
+
+
+async def _request_us(size: int) -> float:
+    """Processor time (us) of one answered request whose answer has so many bytes."""
+    with tempfile.TemporaryDirectory() as folder:
+        async with Deployment(Path(folder), size=size) as place:
+            assert place.process is not None
+            warming = (LoadStep(1.0, RATE, RATE),)
+            await load(place.address, warming, mixes(TRACKS), 1, objects=OBJECTS, late_ms=LATE_MS)
+            before = cpu_s(place.process.pid)
+            steps = (LoadStep(SECONDS, RATE, RATE),)
+            found = await load(place.address, steps, mixes(TRACKS), 1, objects=OBJECTS, late_ms=LATE_MS)
+            spent = cpu_s(place.process.pid) - before
+    answered = int(found["counts"]["answered"])
+    return spent * MICROSECONDS / answered
+
+
+def _answers(effort: Effort) -> list[Measurement]:
+    quantity = Quantity(
+        ROLE, "processor time of a request", "us", "bytes of its answer", f"at {RATE:g} a second"
+    )
+    return series(quantity, ANSWER_BYTES, REPEATS, lambda size: awaited(lambda: _request_us(size)))
+
+
+STEPS = (Step(ROLE, "a request by the size of its answer", _answers, whole_only=True),)
