--- a/hoistplank/lab/scale/role_operator.py
+++ b/hoistplank/lab/scale/role_operator.py
@@ -29,6 +29,7 @@
         data = tenants_file(count)
         return processor_us(lambda: understood(data, FILE))
 
+    understood(tenants_file(1), FILE)  # the first one builds the grammar, once a process
     return series(quantity, effort.sizes(TENANTS), effort.repeats, value)
 
 
