--- a/hoistplank/lab/scale/role_operator.py
+++ b/hoistplank/lab/scale/role_operator.py
@@ -22,6 +22,11 @@
     return (head + "\n".join(tenants) + ")\n").encode()
 
 
+def _build_grammar() -> None:
+    """The first check of a process builds the grammar, which is no cost of a configuration."""
+    understood(tenants_file(1), FILE)
+
+
 def _checking(effort: Effort) -> list[Measurement]:
     quantity = Quantity(ROLE, "processor time of checking a configuration", "us", "tenants")
 
@@ -29,7 +34,7 @@
         data = tenants_file(count)
         return processor_us(lambda: understood(data, FILE))
 
-    understood(tenants_file(1), FILE)  # the first one builds the grammar, once a process
+    _build_grammar()
     return series(quantity, effort.sizes(TENANTS), effort.repeats, value)
 
 
@@ -41,6 +46,7 @@
         data = tenants_file(count)
         return kept_bytes(lambda: understood(data, FILE))[1]
 
+    _build_grammar()
     found = series(size, effort.sizes(TENANTS), 1, lambda count: len(tenants_file(count)))
     return found + series(memory, effort.sizes(TENANTS), effort.slow_repeats, held)
 
