--- a/hoistplank/cli/scale.py
+++ b/hoistplank/cli/scale.py
@@ -45,19 +45,19 @@
     from hoistplank.lab.scale.metering import QUICK, WHOLE, Step
 
     try:
-        from hoistplank.xds import book, follower, service
+        from hoistplank.xds import follower, resources, service
     except ModuleNotFoundError as error:
         raise click.ClickException(f"the control service needs '{error.name}': {EXTRAS['control']}") from None
     from hoistplank.lab.scale.role_control_service import ControlParts
 
     parts = ControlParts(
-        book=book.Book,
-        host=book.Host,
+        cache=resources.ResourceCache,
+        host=resources.Host,
         follower=follower.Follower,
         encoder=service.Encoder,
-        endpoint_type=book.ENDPOINT,
-        runtime_type=book.RUNTIME,
-        purges_name=book.PURGES,
+        endpoint_type=resources.ENDPOINT,
+        runtime_type=resources.RUNTIME,
+        purges_name=resources.PURGES,
     )
     effort = QUICK if quick else WHOLE
     chosen = steps(parts, effort)
