docs/CAPACITY.md: what the fleet ahead costs by measured slopes, and what is missing

The page's tables are written from docs/capacity/slopes.parquet by 'hoistplank lab scale table'; a test fails when they part. Prose figures are arithmetic from the target and are called worked out.

No carrier at all: configuration to dispatchers, knowledge of what is in force, compaction, a second control replica.

The laboratory does not import xDS: the command hands its parts in.

--- a/hoistplank/lab/scale/requirement_list.py
+++ b/hoistplank/lab/scale/requirement_list.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from math import ceil
+
 from hoistplank.lab.scale.requirements import Basis, Count, Mechanism, Requirement, Unit
 from hoistplank.lab.scale.target import SECONDS_A_DAY, TARGET, Budget
 
@@ -62,6 +64,9 @@
 TENANTS = Count(TENANTS_ASSUMED, f"{TENANTS_ASSUMED} tenants (assumed)")
 LARGEST_ANSWER = Count(LARGEST_ANSWER_BYTES, f"{LARGEST_ANSWER_BYTES:,} bytes an answer")
 MEAN_ANSWER = Count(TARGET.answer_bytes, f"{TARGET.answer_bytes:,.0f} bytes an answer")
+_parts = ceil(TARGET.answer_bytes / LARGEST_ANSWER_BYTES)
+_part_bytes = TARGET.answer_bytes / _parts
+PART_OF_ANSWER = Count(_part_bytes, f"{_part_bytes:,.0f} bytes an answer")
 
 # Rates, and shares of the time that a catch-up may take.
 _within = f"within {TARGET.change_within_s:g} s"
@@ -69,6 +74,7 @@
 LIST_RATE = Count(TARGET.list_events_per_s, f"{TARGET.list_events_per_s:.4f} list events/s")
 DAY_RATE = Count(TARGET.changes_per_s, f"{TARGET.changes_per_s:.4f} changes/s (day)")
 BURST_RATE = Count(TARGET.burst_changes_per_s, f"{TARGET.burst_changes_per_s:g} change/s (burst)")
+PART_RATE = Count(_requests * _parts, f"{_requests * _parts:,.0f} requests/s")
 REQUEST_RATE = Count(_requests, f"{_requests:.0f} requests/s")
 FLEET_PURGE_RATE = Count(TARGET.dispatchers * TARGET.purges_per_s, f"{FLEET.text} × {PURGE_RATE.text}")
 WITHIN = Count(1 / TARGET.change_within_s, _within)
@@ -441,7 +447,16 @@
     ),
     Requirement(
         DATA_PATH,
-        "requests, answers of the mean of the target",
+        "requests, the mean answer of the target in three parts",
+        "processor time of a request",
+        PART_OF_ANSWER,
+        PERCENT,
+        PROXYING,
+        times=PART_RATE,
+    ),
+    Requirement(
+        DATA_PATH,
+        "requests, the mean answer of the target whole",
         "processor time of a request",
         MEAN_ANSWER,
         PERCENT,
--- a/hoistplank/lab/scale/role_cache_host.py
+++ b/hoistplank/lab/scale/role_cache_host.py
@@ -18,7 +18,7 @@
 ROLE = "cache host"
 ACCEPT_PROCESS = "hoistplank.lab.scale.accept_process"
 HOSTS = (45, 90, 180, 360)
-DISPATCHERS = (20, 40, 80, 160)
+DISPATCHERS = (85, 170, 340, 680)
 DESCRIPTORS = 8_192
 STREAMS, IDLE_S, CONNECT_S, REMEMBER_S = 10, 30.0, 5.0, 3.0
 REQUEST = b"GET probe-0 - 0\r\n\r\n"
--- a/hoistplank/lab/scale/role_change_log.py
+++ b/hoistplank/lab/scale/role_change_log.py
@@ -19,9 +19,9 @@
 ROLE = "change log"
 LOG_PROCESS = "hoistplank.lab.scale.log_process"
 FOLLOWERS = (85, 170, 340, 680)
-HELD = (500, 1_750, 3_500, 7_000)
+HELD = (1_000, 3_500, 7_000, 14_040)
 HELD_FOLLOWERS = 40
-MISSED = (1_000, 3_500, 7_000, 14_000)
+MISSED = (1_000, 3_500, 7_000, 14_040)
 MISSED_FOLLOWERS = 4
 CATCHING_UP = (4, 8, 16, 32)
 CAUGHT_UP_EVENTS = 1_750
--- a/hoistplank/lab/scale/role_control_service.py
+++ b/hoistplank/lab/scale/role_control_service.py
@@ -26,8 +26,8 @@
 
 @dataclass(frozen=True, slots=True)
 class ControlParts:
-    """The service's own parts: `hoistplank.xds.resources`' ResourceCache, Host and type names, `follower`'s Follower and
-    `service`'s Encoder."""
+    """The service's own parts: `hoistplank.xds.resources`' ResourceCache, Host and type names, `follower`'s
+    Follower and `service`'s Encoder."""
 
     cache: Callable[..., Any]
     host: Callable[..., Any]
--- a/hoistplank/lab/scale/role_data_path.py
+++ b/hoistplank/lab/scale/role_data_path.py
@@ -14,7 +14,7 @@
 from hoistplank.standins.deployment import Deployment
 
 ROLE = "data path"
-ANSWER_BYTES = (20_000, 80_000, 160_000, 239_000)
+ANSWER_BYTES = (20_000, 80_000, 160_000, 240_000)
 RATE = 120.0
 SECONDS = 4.0
 REPEATS = 2
--- a/hoistplank/lab/scale/role_dispatcher.py
+++ b/hoistplank/lab/scale/role_dispatcher.py
@@ -22,7 +22,7 @@
 ROLE = "dispatcher"
 SEED = 7
 HOSTS = (45, 180, 720, 1_440)
-PURGES = (1_000, 3_500, 7_000, 14_000)
+PURGES = (1_000, 3_500, 7_000, 14_040)
 HOSTS_AT_TARGET = 180
 # Purges are kept for the longest freshness; an hour is that of the catch-up.
 FRESH_US = 3_600_000_000
--- a/tests/test_scale_slopes.py
+++ b/tests/test_scale_slopes.py
@@ -373,9 +373,7 @@
     rows = read_folder(RESULTS)
     made = page(rows)
     assert made.count("<svg") == len({(row.role, row.quantity) for row in rows if row.per})
-    assert "http://" not in re.sub(r'xmlns[^ >]*|"http://www.w3.org[^"]*"', "", made).replace(
-        "http://www.w3.org", ""
-    )
+    assert not re.search(r'<script|<link|src=|href="http', made.replace('xlink:href="#', ""))
 
 
 @pytest.mark.parametrize(
