--- a/hoistplank/callers/gate.py
+++ b/hoistplank/callers/gate.py
@@ -1,8 +1,8 @@
 """The gate: who a caller is, and whether a visit of its may be taken. No I/O, no clock, nothing awaited.
 
 One call a visit (`admit`); `accounts.give` at its end. What it refuses never reaches the Router or a cache
-host. What it
-lets in is the Router's to decide like any other visit. `now` is whole microseconds of the Unix clock.
+host. What it admits is the Router's to decide like any other visit. `now` is whole microseconds of the Unix
+clock.
 """
 
 from __future__ import annotations
--- a/hoistplank/callers/service.py
+++ b/hoistplank/callers/service.py
@@ -1,5 +1,5 @@
 """Runs the checks of callers in a dispatcher: reads and watches the files that they need, and serves the TLS
-listener and the control interface beside the plain listener."""
+listener and the control front beside the plain listener."""
 
 from __future__ import annotations
 
--- a/hoistplank/cli/keys.py
+++ b/hoistplank/cli/keys.py
@@ -1,4 +1,4 @@
-"""Commands on keys, tokens and revocations: what an operator does by hand, also at 3 a.m."""
+"""`hoistplank keys`, tokens and revocations: what an operator does by hand."""
 
 from __future__ import annotations
 
--- a/hoistplank/lab/drives/steward.py
+++ b/hoistplank/lab/drives/steward.py
@@ -1,5 +1,5 @@
-"""Levels of reduced service and the admission by the core at a laboratory dispatcher: the same judgement as
-a dispatcher on sockets runs (`hoistplank.levels`), fed by the virtual seat's events."""
+"""Levels of reduced service and the admission by the core at a laboratory dispatcher: the same decision
+logic as a dispatcher on sockets runs (`hoistplank.levels`), fed by the virtual seat's events."""
 
 from __future__ import annotations
 
--- a/hoistplank/lab/drives/virtual.py
+++ b/hoistplank/lab/drives/virtual.py
@@ -1,4 +1,4 @@
-"""Virtual time: the same Router and judgement modules under a clock that jumps from event to event."""
+"""Virtual time: the same Router and decision logic under a clock that jumps from event to event."""
 
 from __future__ import annotations
 
--- a/hoistplank/lab/load/__init__.py
+++ b/hoistplank/lab/load/__init__.py
@@ -1,1 +1,1 @@
-"""The load tool: an open loop on a schedule, honest about its own lateness, over several processes."""
+"""The load tool: an open loop on a schedule over several processes, which measures its own lateness too."""
--- a/hoistplank/lab/policies.py
+++ b/hoistplank/lab/policies.py
@@ -1,5 +1,5 @@
-"""Who decides at a lab's dispatchers: the module, the module with one defence off, an older text, and plain
-baselines.
+"""The policies that a laboratory's dispatchers can run: the module, the module with one defence off, an
+older text, and plain baselines.
 
 The baselines know as much as the module does, but `seer`, which looks at the world itself: the best that
 could be done, so that each figure reads as a share of the way from floor to top. They are of the lab only.
--- a/hoistplank/levels/admission.py
+++ b/hoistplank/levels/admission.py
@@ -1,5 +1,5 @@
 """How many visits may be open at once so that the loop keeps up with them: a controller on the loop's
-measured lag and on what waits for its turns. Judgement: `now` is told in whole microseconds.
+measured lag and on what waits for its turns. No I/O, no clock: `now` is told in whole microseconds.
 
 Once a period the lag of its turns and the most visits open in it are read against the target:
 
--- a/hoistplank/levels/ladder.py
+++ b/hoistplank/levels/ladder.py
@@ -1,5 +1,5 @@
-"""Levels of reduced service as one state machine: which level holds, since when and why. Judgement: `now`
-is told in whole microseconds, readings come from `signals.Gauges`.
+"""Levels of reduced service as one state machine: which level holds, since when and why. No I/O, no clock:
+`now` is told in whole microseconds, readings come from `signals.Gauges`.
 
 Level 0 is full service and has no name of its own here ("full"). A level holds the effects of all below it
 as well as its own. The table, drawn in docs/levels.md:
--- a/hoistplank/levels/signals.py
+++ b/hoistplank/levels/signals.py
@@ -1,5 +1,5 @@
-"""Readings of how the service fares, each smoothed over a stated age. Judgement: `now` is told, in whole
-microseconds; nothing here reads a clock.
+"""Readings of how the service fares, each smoothed over a stated age. No I/O, no clock: `now` is told,
+in whole microseconds.
 
 A reading is a decaying mean: each observation weighs 1 and halves in weight with every half-life, so that a
 figure's age is what its half-life says. A reading with too little weight, or none for eight half-lives, is
--- a/hoistplank/routing/complaints.py
+++ b/hoistplank/routing/complaints.py
@@ -1,4 +1,4 @@
-"""Log lines on bad input: what comes at full speed must not fill the log."""
+"""Rate-limited log lines on bad input, so that a client that sends it at full speed can't fill the log."""
 
 from __future__ import annotations
 
--- a/hoistplank/standins/authority.py
+++ b/hoistplank/standins/authority.py
@@ -1,5 +1,5 @@
-"""Who vouches for callers, as a stand-in: a certificate authority with revocation lists, and a signer of
-tokens.
+"""A stand-in for the issuers of callers' credentials: a certificate authority with revocation lists, and a
+signer of tokens.
 
 The signer makes tokens by hand, without the library that the program uses, so that it can make wrong ones
 too.
--- a/hoistplank/standins/load.py
+++ b/hoistplank/standins/load.py
@@ -1,4 +1,4 @@
-"""Visits sent at a rate over kept connections, each answer with its time; and the ways to be a nuisance."""
+"""Visits sent at a rate over kept connections, each answer with its time; and clients that misbehave."""
 
 from __future__ import annotations
 
--- a/hoistplank/xds/follower.py
+++ b/hoistplank/xds/follower.py
@@ -1,4 +1,4 @@
-"""One follower's stream: what it has, wants, refused and is owed. Judgement: requests in, responses out.
+"""One follower's stream: what it has, wants, refused and is owed. No I/O: requests in, responses out.
 
 The rules of the xDS transport protocol, v3 (state of the world and incremental): each response has a nonce; a
 request with that nonce accepts it, or refuses it where it carries an error. A state-of-the-world request with
--- a/hoistplank/xds/resources.py
+++ b/hoistplank/xds/resources.py
@@ -1,9 +1,9 @@
 """The xDS resources that followers are told, kept in step with hosts, purges and followed names.
 
-Decisions without I/O, but for protobuf's own encoding: facts in, names of changed resources out. A resource's
-version is the digest of its bytes, so that a change that changes nothing sends nothing, and two control
-processes with the same facts serve the same bytes. A change at one host encodes one endpoint anew; the
-assignment around it is put together from the bytes of the others, which are kept.
+Decision logic without I/O, but for protobuf's own encoding: facts in, names of changed resources out. A
+resource's version is the digest of its bytes, so that a change that changes nothing sends nothing, and two
+control processes with the same facts serve the same bytes. A change at one host encodes one endpoint anew;
+the assignment around it is put together from the bytes of the others, which are kept.
 
 Resources (types of the v3 API, https://www.envoyproxy.io/docs/envoy/latest/api-docs/xds_protocol):
 
--- a/hoistplank/xds/table.py
+++ b/hoistplank/xds/table.py
@@ -1,7 +1,7 @@
 """The order in which a follower goes through cache hosts: the decision module's own, from what xDS carries.
 
-Judgement. `hoistplank.choice` has the one formula; here is only the index that keeps, for each object and
-part followed, its first host, so that a host that comes or goes touches what stands at it alone.
+No I/O, no clock. `hoistplank.choice` has the one formula; here is only the index that keeps, for each object
+and part followed, its first host, so that a host that comes or goes touches what stands at it alone.
 """
 
 from __future__ import annotations
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -1,4 +1,4 @@
-"""Judgement on callers: tokens, rings, rights, limits, revocation. No sockets, no files, time by hand."""
+"""Decision logic of callers: tokens, rings, rights, limits, revocation. No sockets, files or clock."""
 
 from __future__ import annotations
 
