--- /dev/null
+++ b/hoistplank/distribution/messages.py
@@ -0,0 +1,176 @@
+"""The lines between control replicas, dispatchers and operators: JSON objects, one a line.
+
+A replica hands the change log's events on in the log's own form, with two more fields: `epoch`, and `after`, the
+number of the event before it on this connection. Numbers that were compacted away are missing, so a follower
+checks `after` against what it holds in place of counting by one. A line with `seq` and `epoch` alone is a
+heartbeat: there is nothing newer than that number. Everything a line names is checked here; what can't be used
+raises BadBytes with what is wrong.
+"""
+
+from __future__ import annotations
+
+from typing import Annotated
+
+import msgspec
+from msgspec import Meta
+
+from hoistplank.distribution.versions import Version
+from hoistplank.protocol import changelog
+from hoistplank.protocol.changelog import Fleet, Purge
+from hoistplank.protocol.errors import BadBytes
+
+MOST_CONFIGURATION = 1_048_576  # bytes of one configuration's text
+# JSON may write each byte of a text as six characters.
+MOST_LINE = 6 * MOST_CONFIGURATION + 65_536
+MOST_REQUEST_LINE = 65_536  # of what a dispatcher, a peer or an operator sends
+MOST_REASON = 2_000  # characters of a refusal's reason
+
+Name = Annotated[str, Meta(min_length=1, max_length=120, pattern=r"^[A-Za-z0-9_.:/-]+$")]
+Count = Annotated[int, Meta(ge=0, lt=1 << 63)]
+
+
+class VersionFields(msgspec.Struct, frozen=True):
+    """A version as it stands in a line."""
+
+    epoch: Count = 0
+    number: Count = 0
+
+    def version(self) -> Version:
+        return Version(self.epoch, self.number)
+
+
+class Configuration(msgspec.Struct, frozen=True):
+    """A whole configuration: the text of an operator's file."""
+
+    text: Annotated[str, Meta(max_length=MOST_CONFIGURATION)]
+
+
+class ReplicatedEvent(msgspec.Struct, frozen=True, omit_defaults=True):
+    """One event as a replica hands it on; with none of the last three, a heartbeat."""
+
+    seq: Count
+    epoch: Count = 0
+    after: Count = 0
+    fleet: Fleet | None = None
+    invalidate: Purge | None = None
+    configuration: Configuration | None = None
+
+    @property
+    def version(self) -> Version:
+        return Version(self.epoch, self.seq)
+
+    @property
+    def is_heartbeat(self) -> bool:
+        return self.fleet is None and self.invalidate is None and self.configuration is None
+
+
+class Redirect(msgspec.Struct, frozen=True):
+    """The replica does not take this dispatcher now; `reason` is for the log."""
+
+    reason: str
+
+
+class Refusal(msgspec.Struct, frozen=True):
+    """A configuration that a dispatcher could not take, and why."""
+
+    version: VersionFields
+    reason: Annotated[str, Meta(max_length=MOST_REASON)]
+
+
+class Follow(msgspec.Struct, frozen=True):
+    """A dispatcher's first line: who it is, which life of it, and what it holds."""
+
+    dispatcher: Name
+    incarnation: Count  # rises with each start of this dispatcher
+    region: str = ""
+    at: VersionFields = VersionFields()
+
+
+class InForce(msgspec.Struct, frozen=True):
+    """A dispatcher's acknowledgement: all up to `version` is applied, or was refused as `refused` says."""
+
+    version: VersionFields
+    configuration: VersionFields = VersionFields()
+    refused: Refusal | None = None
+
+
+class Report(msgspec.Struct, frozen=True):
+    """A peer replica's first line: it wants the acknowledgements of this replica's own dispatchers."""
+
+    replica: Name
+
+
+class StatusRequest(msgspec.Struct, frozen=True):
+    """An operator asks for a status; the answer is one line. `version`: of this change alone."""
+
+    version: VersionFields | None = None
+
+
+class AcknowledgementRow(msgspec.Struct, frozen=True):
+    """What one dispatcher has in force, as one replica tells another."""
+
+    dispatcher: Name
+    incarnation: Count
+    in_force: InForce
+    region: str = ""
+    connected: bool = True
+    heard_ago_us: Count = 0
+
+
+class RequestLine(msgspec.Struct, frozen=True, omit_defaults=True):
+    """A line to a replica: exactly one field is set."""
+
+    follow: Follow | None = None
+    in_force: InForce | None = None
+    report: Report | None = None
+    status: StatusRequest | None = None
+
+
+class ReplicaLine(msgspec.Struct, frozen=True, omit_defaults=True):
+    """A line from a replica to a dispatcher: an event (or heartbeat), or a redirect."""
+
+    seq: Count | None = None
+    epoch: Count = 0
+    after: Count = 0
+    fleet: Fleet | None = None
+    invalidate: Purge | None = None
+    configuration: Configuration | None = None
+    redirect: Redirect | None = None
+
+
+_requests = msgspec.json.Decoder(RequestLine)
+_replica_lines = msgspec.json.Decoder(ReplicaLine)
+_encoder = msgspec.json.Encoder()
+
+
+def encode(message: RequestLine | ReplicatedEvent | AcknowledgementRow | msgspec.Struct) -> bytes:
+    """One line, with its end."""
+    return _encoder.encode(message) + b"\n"
+
+
+def read_request(line: bytes) -> Follow | InForce | Report | StatusRequest:
+    """What a dispatcher, a peer or an operator asks; raises BadBytes."""
+    try:
+        told = _requests.decode(line)
+    except msgspec.MsgspecError as wrong:
+        raise BadBytes(f"a request can't be read: {wrong}") from None
+    found = [part for part in (told.follow, told.in_force, told.report, told.status) if part is not None]
+    if len(found) != 1:
+        raise BadBytes(f"a request holds {len(found)} of 'follow', 'in_force', 'report' and 'status', not one")
+    return found[0]
+
+
+def read_replica_line(line: bytes) -> ReplicatedEvent | Redirect:
+    """What a replica tells a dispatcher; raises BadBytes."""
+    try:
+        told = _replica_lines.decode(line)
+    except msgspec.MsgspecError as wrong:
+        raise BadBytes(f"a replica's line can't be read: {wrong}") from None
+    if told.redirect is not None:
+        return told.redirect
+    if told.seq is None:
+        raise BadBytes("a replica's line has neither 'seq' nor 'redirect'")
+    changelog.check(changelog.Event(told.seq, told.fleet, told.invalidate))
+    return ReplicatedEvent(
+        told.seq, told.epoch, told.after, told.fleet, told.invalidate, told.configuration
+    )
