Change log: an epoch and configuration events, harmless to who follows it directly

Need: a configuration is to be an event of the change log (docs/distribution.md). An event with neither 'fleet' nor 'invalidate' counted as a bare number, ahead of its event, and ended the watch for good.

--- a/hoistplank/protocol/changelog.py
+++ b/hoistplank/protocol/changelog.py
@@ -8,7 +8,8 @@
 from hoistplank.protocol.cachewire import is_token
 from hoistplank.protocol.errors import BadBytes
 
-MOST_LINE = 1_048_576  # a whole list of some thousand cache hosts
+# A configuration of 1 MiB, each byte of which JSON may write as six; a list of some thousand hosts is less.
+MOST_LINE = 6 * 1_048_576 + 65_536
 STATES = {"ready": "up", "draining": "draining", "gone": "gone"}
 
 
@@ -49,10 +50,28 @@
     bucket: int = 0
 
 
+NO_CONFIGURATION = msgspec.Raw()
+
+
 class Event(msgspec.Struct, frozen=True):
+    """One event. `configuration` is left unread: a follower without use for it must not fail on what it
+    holds; who hands it on checks it (`hoistplank.distribution`)."""
+
     seq: int
     fleet: Fleet | None = None
     invalidate: Purge | None = None
+    configuration: msgspec.Raw = NO_CONFIGURATION
+    epoch: int = 0  # rises whenever the log counts anew; 0 of a log that tells none
+
+    @property
+    def is_number(self) -> bool:
+        """Whether it says nothing but how far the log has come."""
+        return self.fleet is None and self.invalidate is None and not self.configures
+
+    @property
+    def configures(self) -> bool:
+        """Whether it carries a configuration."""
+        return bytes(self.configuration) not in (b"", b"null")
 
 
 class Known(msgspec.Struct, frozen=True):
@@ -87,10 +106,11 @@
 
 class Reader:
     """The lines of one connection: events, and numbers that say how far the log has come, each bare or as an
-    object with nothing else in it."""
+    object with nothing else in it but the log's epoch."""
 
     def __init__(self) -> None:
         self.seen = 0
+        self.epoch = 0  # of the last line that was read
 
     def read(self, buffer: bytearray, start: int, end: int) -> tuple[int, list[Event | int]]:
         found: list[Event | int] = []
@@ -101,7 +121,8 @@
                     told = _decoder.decode(line)
                 except msgspec.MsgspecError as wrong:
                     raise BadBytes(f"a line of the change log can't be read: {wrong}") from None
-                if isinstance(told, Event) and told.fleet is None and told.invalidate is None:
+                self.epoch = told.epoch if isinstance(told, Event) else 0
+                if isinstance(told, Event) and told.is_number:
                     # The number alone, as the platform's log writes it. Danger: taken for an event, one that
                     # is ahead would count as heard what has not come, and a drain would be lost for good.
                     told = told.seq
--- a/hoistplank/routing/listing.py
+++ b/hoistplank/routing/listing.py
@@ -19,11 +19,13 @@
 from hoistplank.routing.logclock import LogClock
 from hoistplank.routing.owner import Event as Telling
 from hoistplank.routing.owner import Listed, Purged
-from hoistplank.transport.connection import Connection
+from hoistplank.transport.connection import Connection, Consume
 
 SILENT_S = 2.2  # a number comes each second: two missed and some
 HALTED_S = 0.3  # a line is written in one go: one that has begun and moves no more has broken off
 LOOK_S = 0.1
+MOST_IN = changelog.MOST_LINE + 65_536  # bytes read ahead: the longest line, and what comes behind it
+LARGE = 262_144  # bytes of a buffer that is given back once it is empty: few lines are as long
 MOST_LEAVING = 4_096  # hosts of which it is remembered that they left
 CONNECT_S = 1.0
 # Between tries to connect. What the log holds while nobody is connected counts as told at once: the longest
@@ -62,6 +64,7 @@
         # Who was told to drain or to be gone, and when that process started.
         self.leaving = OrderedDict[str, float]()
         self.moves = 0  # events and numbers that came in their order
+        self.connection: Connection | None = None  # on which the log is followed just now
         self._moved, self.complaints, self.clock = asyncio.Event(), Complaints(), LogClock()
         for event in known.results:
             self._apply(event)
@@ -158,6 +161,22 @@
                 await asyncio.wait_for(self._moved.wait(), pause * (0.5 + self.chance() / 2))
             pause = min(self.longest_pause_s, pause * 2)
 
+    def _request(self) -> bytes:
+        """The first line on a new connection."""
+        return changelog.since(self.last)
+
+    def _consumer(self) -> Consume:
+        """What takes the bytes of one connection."""
+        reader = changelog.Reader()
+
+        def consume(buffer: bytearray, start: int, end: int) -> int:
+            start, found = reader.read(buffer, start, end)
+            for told in found:
+                self._take(told)
+            return start
+
+        return consume
+
     async def _follow(self, address: tuple[str, int]) -> BaseException | str:
         loop = asyncio.get_running_loop()
         try:
@@ -174,16 +193,9 @@
         except BaseException:
             sock.close()
             raise
-        reader = changelog.Reader()
-
-        def consume(buffer: bytearray, start: int, end: int) -> int:
-            start, found = reader.read(buffer, start, end)
-            for told in found:
-                self._take(told)
-            return start
-
-        connection = Connection(sock, consume, 2 * changelog.MOST_LINE, changelog.MOST_LINE)
-        connection.send(changelog.since(self.last))
+        connection = Connection(sock, self._consumer(), MOST_IN, changelog.MOST_LINE)
+        connection.send(self._request())
+        self.connection = connection
         task = loop.create_task(connection.run())
         try:
             silent_s, moves, halted_s, heard_at = 0.0, self.moves, 0.0, 0.0
@@ -196,6 +208,8 @@
                 silent_s, halted_s = silent_s + looked, halted_s + looked
                 if self.moves != moves:
                     silent_s, moves = 0.0, self.moves
+                if len(connection.buffer) > LARGE:
+                    connection.trim()
                 if connection.heard_at != heard_at or connection.start == connection.end:
                     halted_s, heard_at = 0.0, connection.heard_at
                 if silent_s > SILENT_S or halted_s > HALTED_S:
@@ -206,5 +220,6 @@
                     await asyncio.wait((task,))
                     return "its seconds stay away" if silent_s > SILENT_S else "a line of it broke off"
         finally:
+            self.connection = None
             connection.close()
         return task.result() or "closed by the other side"
--- a/hoistplank/routing/owner.py
+++ b/hoistplank/routing/owner.py
@@ -72,7 +72,13 @@
     reduced: Reduced
 
 
-Event = Came | Left | Late | Due | Listed | Purged | Probed | Closing | Closed | Told | Ended
+class Applied(NamedTuple):
+    """All that was told before it has been taken in by the Router: `callback` is called then."""
+
+    callback: Callable[[], None]
+
+
+Event = Came | Left | Late | Due | Listed | Purged | Probed | Closing | Closed | Told | Applied | Ended
 FILLED = (Note.FILLED, Note.FROM_ORIGIN)
 
 
@@ -121,6 +127,8 @@
         self.queue: deque[Event] = deque()
         self.closing_by, self.probes = 0, 0
         self.seen_ended: Callable[[Attempt, str], None] | None = None  # who else learns how attempts end
+        # Asked before each turn where the list may have gone stale: what is to be told to the Router first.
+        self.before_turn: Callable[[int], Listed | None] | None = None
         # The bound on open visits that follows what the core carries; the settings' cap is its ceiling.
         bounds = Bounds(target_us=_target_us(site), least=min(8, self.open_cap), most=self.open_cap)
         self.admission = Admission(bounds, clock.now())
@@ -142,6 +150,7 @@
             Closing: self._closing,
             Closed: self._closed,
             Told: self._told,
+            Applied: self._applied,
             Ended: self._ended,
         }
         self._act: dict[str, Callable[[int, Decision], None]] = {
@@ -198,6 +207,8 @@
 
     def turn(self) -> None:
         now = self.clock.now()
+        if self.before_turn is not None and (stale := self.before_turn(now)) is not None:
+            self._listed(now, stale)
         waiting = len(self.queue)
         self.router.loop_told(waiting, self.lag_us)
         self.admission.observe(now, self.lag_us, self.open, waiting)
@@ -357,6 +368,9 @@
     def _told(self, now: int, event: Told) -> None:
         self.router.reduced_told(now, event.reduced)
 
+    def _applied(self, now: int, event: Applied) -> None:
+        event.callback()
+
     def _probed(self, now: int, event: Probed) -> None:
         probe = event.probe
         self.router.probe_answered(now, probe.host, event.good, now - probe.sent, event.report)
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -24,7 +24,8 @@
 from hoistplank.routing import listing as watching
 from hoistplank.routing.clock import Clock
 from hoistplank.routing.listing import Listing
-from hoistplank.routing.owner import Came, Left
+from hoistplank.routing.owner import Came, Left, Listed, Purged
+from hoistplank.standins.changelog import ChangeLog
 from hoistplank.standins.settings import listing, target
 from hoistplank.standins.wire import CacheHost, Client, serve
 from hoistplank.transport import connection as connections
@@ -942,3 +943,23 @@
             }[follows], (status, host.keys)
 
     run(scene())
+
+
+def test_a_configuration_in_the_log_does_no_harm_to_a_dispatcher_that_follows_it_directly() -> None:
+    """It has no use for one; taken for a bare number ahead of its event, it would end the watch for good."""
+
+    async def scene() -> None:
+        log = ChangeLog(epoch=7)
+        told = Told()
+        listing_ = Listing(told, ("127.0.0.1", await serve(log.talk)), Known(0, []), Random(1))
+        task = asyncio.create_task(listing_.run())
+        log.tell(listing(1, [target("a", "box", 9)], whole=True))
+        log.configure(2, "x" * 1_000_000)
+        log.tell({"seq": 3, "configuration": {"text": ["wrong"]}})
+        log.tell({"seq": 4, "invalidate": {"object": "ab", "time": 1}})
+        await until(lambda: listing_.last == 4)
+        assert [type(event) for event in told.events] == [Listed, Purged] and log.since == [0]
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+
+    run(scene())
--- a/tests/test_protocol.py
+++ b/tests/test_protocol.py
@@ -167,6 +167,20 @@
         assert (purged.invalidate.object, purged.seq) == ("7f3a9c21e0b4d655", 42)
 
 
+@pytest.mark.parametrize(
+    "configuration",
+    ['{"text":"(log)"}', '{"text":5}', '"' + "x" * 1_100_000 + '"'],
+    ids=["good", "typed", "long"],
+)
+def test_a_configuration_in_the_change_log_is_an_event_whatever_it_holds(configuration: str) -> None:
+    reader = changelog.Reader()
+    data = f'{{"seq":7,"epoch":3,"configuration":{configuration}}}\n{{"seq":7,"epoch":3}}\n'.encode()
+    event, number = cut(reader, data, 65_536)
+    assert (event.seq, event.epoch, event.configures, event.is_number) == (7, 3, True, False)
+    assert bytes(event.configuration) == configuration.encode()
+    assert number == 7 and reader.epoch == 3
+
+
 @pytest.mark.parametrize(
     "make, data, told",
     [
