--- a/hoistplank/choice.py
+++ b/hoistplank/choice.py
@@ -31,7 +31,7 @@
 # Notes by which the source failed, not the cache host that tells of it.
 SOURCE_FAILED = frozenset((Note.SOURCE_REFUSED, Note.SOURCE_LOST, Note.SOURCE_LACKS, Note.ORIGIN_LOST))
 MOST_FLOORS = 16_384  # an hour's purges of the largest fleet, all told at once, are 14,000
-ALL_OBJECTS = ""  # the key of the floor under all objects: none has this name
+ALL_OBJECTS = -1  # the bucket of a purge of all objects, and the key of their floor: no request has it
 
 
 class Track:
--- a/hoistplank/distribution/messages.py
+++ b/hoistplank/distribution/messages.py
@@ -1,14 +1,16 @@
 """The lines between control replicas, dispatchers and operators: JSON objects, one a line.
 
-A replica hands the change log's events on in the log's own form, with two more fields: `epoch`, and `after`, the
-number of the event before it on this connection. Numbers that were compacted away are missing, so a follower
-checks `after` against what it holds in place of counting by one. A line with `seq` and `epoch` alone is a
-heartbeat: there is nothing newer than that number. Everything a line names is checked here; what can't be used
-raises BadBytes with what is wrong.
+A replica hands the change log's events on in the log's own form, with two more fields: `epoch`, and
+`after`, the number of the event before it on this connection. Numbers that were compacted away are missing,
+so a follower checks `after` against what it holds in place of counting by one. A line with `seq` and
+`epoch` alone is a heartbeat: there is nothing newer than that number. More than one missing event is told
+as a catch-up: a line that begins it, its parts, and a line that ends it. Everything a line names is checked
+here; what can't be used raises BadBytes with what is wrong.
 """
 
 from __future__ import annotations
 
+import enum
 from typing import Annotated
 
 import msgspec
@@ -24,9 +26,11 @@
 MOST_LINE = 6 * MOST_CONFIGURATION + 65_536
 MOST_REQUEST_LINE = 65_536  # of what a dispatcher, a peer or an operator sends
 MOST_REASON = 2_000  # characters of a refusal's reason
+# The bucket of a purge of all objects: none has it, as a request's bucket lies between 0 and 255.
+ALL_OBJECTS_BUCKET = -1
 
 Name = Annotated[str, Meta(min_length=1, max_length=120, pattern=r"^[A-Za-z0-9_.:/-]+$")]
-Count = Annotated[int, Meta(ge=0, lt=1 << 63)]
+Count = Annotated[int, Meta(ge=0, le=(1 << 63) - 1)]
 
 
 class VersionFields(msgspec.Struct, frozen=True):
@@ -45,8 +49,20 @@
     text: Annotated[str, Meta(max_length=MOST_CONFIGURATION)]
 
 
+class CatchUp(enum.Enum):
+    """The place of a line in a catch-up.
+
+    Danger: an early part may stand for less than its number says, as what was superseded is told with the
+    later part alone. So a follower's version moves only with the line that ends the catch-up.
+    """
+
+    BEGIN = "begin"  # no content; `seq` is the number at which the catch-up will end
+    PART = "part"  # content, with the version at which it last changed, which may be of an earlier epoch
+    END = "end"  # no content; all up to `seq` has been told
+
+
 class ReplicatedEvent(msgspec.Struct, frozen=True, omit_defaults=True):
-    """One event as a replica hands it on; with none of the last three, a heartbeat."""
+    """One event as a replica hands it on; without `fleet`, `invalidate` and `configuration`, a heartbeat."""
 
     seq: Count
     epoch: Count = 0
@@ -54,6 +70,7 @@
     fleet: Fleet | None = None
     invalidate: Purge | None = None
     configuration: Configuration | None = None
+    catch_up: CatchUp | None = None
 
     @property
     def version(self) -> Version:
@@ -135,6 +152,7 @@
     fleet: Fleet | None = None
     invalidate: Purge | None = None
     configuration: Configuration | None = None
+    catch_up: CatchUp | None = None
     redirect: Redirect | None = None
 
 
@@ -156,7 +174,9 @@
         raise BadBytes(f"a request can't be read: {wrong}") from None
     found = [part for part in (told.follow, told.in_force, told.report, told.status) if part is not None]
     if len(found) != 1:
-        raise BadBytes(f"a request holds {len(found)} of 'follow', 'in_force', 'report' and 'status', not one")
+        raise BadBytes(
+            f"a request holds {len(found)} of 'follow', 'in_force', 'report' and 'status', not one"
+        )
     return found[0]
 
 
@@ -172,5 +192,11 @@
         raise BadBytes("a replica's line has neither 'seq' nor 'redirect'")
     changelog.check(changelog.Event(told.seq, told.fleet, told.invalidate))
     return ReplicatedEvent(
-        told.seq, told.epoch, told.after, told.fleet, told.invalidate, told.configuration
+        told.seq,
+        told.epoch,
+        told.after,
+        told.fleet,
+        told.invalidate,
+        told.configuration,
+        told.catch_up,
     )
