Distribution: replicas hand events on, dispatchers follow them and say what is in force

Change: a replica follows the change log, serves dispatchers in turns, exchanges rows with its peers and answers status; a dispatcher's follower stands in the place of the change log's watch with Listing's rules, has the list count as stale before the first turn in which nobody was heard for too long, and acknowledges after the owner's turn; the (distribution …) form, its service, and a configuration that is parsed in a thread, checked against what runs and taken up at once. A reload does not take a distributed configuration back. Health's body says when no replica is heard. Shown by tests/test_distribution.py: log, two replicas, three followers; the hard cases are not there yet.

--- /dev/null
+++ b/hoistplank/distribution/log_follower.py
@@ -0,0 +1,130 @@
+"""A replica's connection to the change log: its events with their epoch, in order and without gaps."""
+
+from __future__ import annotations
+
+from random import Random
+from typing import Protocol
+
+import msgspec
+import structlog
+
+from hoistplank.distribution.messages import Configuration, ReplicatedEvent
+from hoistplank.protocol import changelog
+from hoistplank.protocol.changelog import Event, Known
+from hoistplank.protocol.errors import BadBytes
+from hoistplank.routing.clock import Clock
+from hoistplank.routing.listing import Listing
+from hoistplank.routing.owner import Event as Telling
+from hoistplank.transport.connection import Consume
+
+log = structlog.get_logger()
+# A log that tells events all the time may tell no bare number: so long after its first event it counts as read.
+SETTLED_US = 500_000
+# After a standstill of this process of such length, lines that wait say nothing of the present for so long.
+STANDSTILL_US, DISTRUST_US = 1_000_000, 500_000
+
+_configurations = msgspec.json.Decoder(Configuration)
+
+
+class EventTaker(Protocol):
+    """Who takes the change log's events."""
+
+    def take(self, event: ReplicatedEvent) -> None: ...
+
+
+class _Unlisted:
+    """Stands where a dispatcher's owner hears what the log says: a replica takes whole events instead."""
+
+    def __init__(self, clock: Clock) -> None:
+        self.clock = clock
+
+    def tell(self, event: Telling) -> None:
+        """A loss of the log is seen by its silence."""
+
+
+class LogFollower(Listing):
+    """Follows the change log for a replica; the rules on silence, gaps and pauses are those of `Listing`."""
+
+    def __init__(self, taker: EventTaker, address: tuple[str, int], chance: Random, clock: Clock) -> None:
+        super().__init__(_Unlisted(clock), address, Known(), chance)
+        self.taker = taker
+        self.epoch = 0
+        self.heard_us = 0  # when an event or a number last came in its order; 0: never
+        self._first_us = 0
+        self._awake_us = clock.now()
+        self._trusted_from_us = 0
+        self._has_number = False
+
+    def awake(self) -> None:
+        """To be called several times a second, so that a standstill of this process is noticed.
+
+        Danger: lines that waited meanwhile are old; taken for news they say that nothing was missed since.
+        """
+        now = self.owner.clock.now()
+        if now - self._awake_us > STANDSTILL_US:
+            self._trusted_from_us = now + DISTRUST_US
+        self._awake_us = now
+
+    def silent_us(self) -> int | None:
+        """For how long nothing has come in its order; None: nothing ever has."""
+        return self.owner.clock.now() - self.heard_us if self.heard_us else None
+
+    def is_read(self) -> bool:
+        """Whether all that the log held at the start has come, as far as can be told."""
+        settled = self._first_us > 0 and self.owner.clock.now() - self._first_us > SETTLED_US
+        return self._has_number or settled
+
+    def _consumer(self) -> Consume:
+        reader = changelog.Reader()
+
+        def consume(buffer: bytearray, start: int, end: int) -> int:
+            self.awake()
+            start, found = reader.read(buffer, start, end)
+            for told in found:
+                self._check_epoch(told.epoch if isinstance(told, Event) else reader.epoch)
+                self._take(told)
+            return start
+
+        return consume
+
+    def _check_epoch(self, epoch: int) -> None:
+        """Danger: a log that counts anew may be past our number, and would seem to go on from it."""
+        if epoch == self.epoch:
+            return
+        if epoch < self.epoch:
+            raise BadBytes(f"the change log is in epoch {epoch}, {self.epoch} is known")
+        began_anew = self.last > 0
+        self.epoch = epoch
+        if began_anew:
+            self.last, self.behind, self.anew = 0, False, True
+            raise BadBytes(f"the change log began anew in epoch {epoch}: all is asked for")
+
+    def _take(self, told: Event | int) -> None:
+        moves, was_behind = self.moves, self.behind
+        super()._take(told)
+        if self.behind and not was_behind:
+            log.error("change log began anew without an epoch", epoch=self.epoch, last=self.last)
+        if self.moves == moves:
+            return
+        now = self.owner.clock.now()
+        if now >= self._trusted_from_us:
+            self.heard_us = now
+        self._first_us = self._first_us or now
+        self._has_number = self._has_number or not isinstance(told, Event)
+
+    def _apply(self, event: Event) -> None:
+        self.last, self.listed = event.seq, True
+        self.taker.take(self._replicated(event))
+
+    def _replicated(self, event: Event) -> ReplicatedEvent:
+        configuration: Configuration | None = None
+        if event.configures:
+            try:
+                configuration = _configurations.decode(event.configuration)
+            except msgspec.MsgspecError as wrong:
+                # Danger: one that can't be read must not stop the purges behind it; its number is passed.
+                version = f"{event.epoch}/{event.seq}"
+                log.error("configuration of the change log can't be read", version=version, wrong=str(wrong))
+        return ReplicatedEvent(
+            event.seq, event.epoch, 0, event.fleet, event.invalidate, configuration=configuration
+        )
--- a/hoistplank/distribution/messages.py
+++ b/hoistplank/distribution/messages.py
@@ -29,7 +29,9 @@
 # The bucket of a purge of all objects: none has it, as a request's bucket lies between 0 and 255.
 ALL_OBJECTS_BUCKET = -1
 
-Name = Annotated[str, Meta(min_length=1, max_length=120, pattern=r"^[A-Za-z0-9_.:/-]+$")]
+NAME_PATTERN = r"[A-Za-z0-9_.:/-]{1,120}"  # of dispatchers and replicas
+
+Name = Annotated[str, Meta(pattern=f"^{NAME_PATTERN}$")]
 Count = Annotated[int, Meta(ge=0, le=(1 << 63) - 1)]
 
 
--- a/hoistplank/program/additions.py
+++ b/hoistplank/program/additions.py
@@ -15,7 +15,8 @@
     from hoistplank.callers.service import CallersService
     from hoistplank.levels.service import LevelsService
 
-MAIN = ("callers", "membership", "levels")
+MAIN = ("callers", "membership", "levels", "distribution")
+LOCAL = "distribution"  # the form that stands in a dispatcher's own file alone
 
 
 class Added:
@@ -27,6 +28,13 @@
         self.doorkeeper: CallersService | None = None
         self.each: list[Addition] = []
         self.levels: LevelsService | None = None
+        self.distributed: bytes | None = None  # the configuration in force that replicas handed on
+        self.distributed_name = ""
+        if section["distribution"] is not None:
+            from hoistplank.distribution.service import DistributionService
+
+            # First of all: it takes the place of the change log's watch, which others look at.
+            self.each.append(DistributionService(section["distribution"], configuration, self.read_text))
         if section["callers"] is not None:
             from hoistplank.callers.service import CallersService
 
@@ -45,9 +53,46 @@
 
     def read_again(self) -> Callable[[], None]:
         """The file and all that it names, read and checked; raises BadConfiguration; what is returned takes
-        it up."""
+        it up.
+
+        Danger: where replicas handed on a configuration, the file on the disk is older: it is checked, and
+        what is in force is read again with the files that it names.
+        """
+        take_file = self._prepared(lambda: _loaded(self.file))
+        if self.distributed is None:
+            return take_file
+        return self.read_text(self.distributed, self.distributed_name)()
+
+    def read_text(self, data: bytes, name: str) -> Callable[[], Callable[[], None]]:
+        """A configuration that replicas hand on, parsed; raises BadConfiguration. What is returned checks it
+        against what runs and returns the call that takes it up."""
         try:
-            section = _loaded(self.file)
+            section = _understood(data, name)
+        except Faults as wrong:
+            raise BadConfiguration(str(wrong)) from None
+
+        def check() -> Callable[[], None]:
+            prepared = self._prepared(lambda: self._with_local(section))
+
+            def take() -> None:
+                prepared()
+                self.distributed, self.distributed_name = data, name
+
+            return take
+
+        return check
+
+    def _with_local(self, section: Section) -> Section:
+        """A section that replicas handed on, with the form that only this dispatcher's own file may hold."""
+        if section[LOCAL] is not None:
+            found = f"'({LOCAL} …)' in a configuration that is handed on"
+            raise Faults([Fault(section.at(LOCAL), found, "it in each dispatcher's own file alone")])
+        section.values[LOCAL] = self.section[LOCAL]
+        return section
+
+    def _prepared(self, load: Callable[[], Section]) -> Callable[[], None]:
+        try:
+            section = load()
             for form in MAIN:
                 if (self.section[form] is None) != (section[form] is None):
                     raise BadConfiguration(
@@ -77,6 +122,12 @@
     return load(file)
 
 
+def _understood(data: bytes, name: str) -> Section:
+    from hoistplank.program.forms import understood
+
+    return understood(data, name)
+
+
 def _tracks_known(callers: Section, configuration: Configuration) -> None:
     known = {tariff.name for tariff in configuration.site.tariffs}
     faults = [
--- a/hoistplank/program/forms.py
+++ b/hoistplank/program/forms.py
@@ -5,6 +5,7 @@
 from pathlib import Path
 
 from hoistplank.callers import forms as callers
+from hoistplank.distribution import forms as distribution
 from hoistplank.levels import forms as levels
 from hoistplank.membership import forms as membership
 from hoistplank.operator.faults import Fault, Faults, Place
@@ -19,9 +20,15 @@
         Field("callers", callers.CALLERS, doc="who may call: tokens, certificates, tenants"),
         Field("membership", membership.MEMBERSHIP, doc="starting without discovery: a kept list, seeds"),
         Field("levels", levels.LEVELS, doc="levels of reduced service, admission by the core, retry budgets"),
+        Field("distribution", distribution.DISTRIBUTION, doc="control replicas in place of the change log"),
     )
 )
-CHECKS = {"callers": callers.checked, "membership": membership.checked, "levels": levels.checked}
+CHECKS = {
+    "callers": callers.checked,
+    "membership": membership.checked,
+    "levels": levels.checked,
+    "distribution": distribution.checked,
+}
 
 
 def load(path: str) -> Section:
--- a/hoistplank/routing/front.py
+++ b/hoistplank/routing/front.py
@@ -162,7 +162,8 @@
             fields = request.fields()
             if fields.get("SCRIPT_NAME", "") + fields.get("PATH_INFO", "") == HEALTH:
                 self.spoke = True
-                exchange.answer(200 if self.front.is_ready() else 503, (), b"")
+                detail = self.front.health_detail().encode()
+                exchange.answer(200 if self.front.is_ready() else 503, (), detail)
                 return
             visit = self.front.visit(exchange, fields, bytes(request.body))
         except BadBytes as wrong:
@@ -303,6 +304,7 @@
         self.scripts = {f"{PATH}{name}".encode(): name for name in self.tracks}
         self.sessions: dict[Session, None] = {}
         self.complaints = Complaints()
+        self.health_detail: Callable[[], str] = str  # what a health answer says beside its status
         # A quarter of the memory for answers that wait, an eighth for requests that are unfinished or open.
         self.most_out, self.most_held, self.held = memory_mb << 18, memory_mb << 17, 0
         ledger.reclaimers["client"] = self.reclaim
--- a/hoistplank/routing/listing.py
+++ b/hoistplank/routing/listing.py
@@ -55,6 +55,7 @@
     def __init__(
         self, owner: Hearer, address: tuple[str, int], known: Known, chance: Random, grace_s: float = 0.25
     ) -> None:
+        self.look_s, self.halted_s = LOOK_S, HALTED_S
         self.longest_pause_s = max(FIRST_PAUSE_S, min(LONGEST_PAUSE_S, OF_GRACE * grace_s))
         self.watch: Watch | None = None
         self.owner, self.address, self.chance = owner, address, chance.random
@@ -201,10 +202,10 @@
             silent_s, moves, halted_s, heard_at = 0.0, self.moves, 0.0, 0.0
             while not task.done():
                 looked = loop.time()
-                await asyncio.wait((task,), timeout=LOOK_S)
+                await asyncio.wait((task,), timeout=self.look_s)
                 # Danger: after a standstill of our own, what came meanwhile is still unread, and looks
                 # silent: a look counts for its own time and no more.
-                looked = min(loop.time() - looked, LOOK_S)
+                looked = min(loop.time() - looked, self.look_s)
                 silent_s, halted_s = silent_s + looked, halted_s + looked
                 if self.moves != moves:
                     silent_s, moves = 0.0, self.moves
@@ -212,7 +213,7 @@
                     connection.trim()
                 if connection.heard_at != heard_at or connection.start == connection.end:
                     halted_s, heard_at = 0.0, connection.heard_at
-                if silent_s > SILENT_S or halted_s > HALTED_S:
+                if silent_s > SILENT_S or halted_s > self.halted_s:
                     # A machine that is cut off closes nothing: only the seconds that stay away show it.
                     # Danger: half an event may be a drain, and the rest of it never comes here; whoever asks
                     # anew is told at once.
--- /dev/null
+++ b/tests/distribution_rig.py
@@ -0,0 +1,183 @@
+"""A change log, control replicas and dispatchers' followers on loopback, in one event loop."""
+
+from __future__ import annotations
+
+import asyncio
+from random import Random
+from typing import Any
+
+import msgspec
+
+from hoistplank.distribution.assignment import Replica as ReplicaAddress
+from hoistplank.distribution.configuration_taker import ConfigurationRefused, TakeUp
+from hoistplank.distribution.follower import FollowerSettings, ReplicaFollower
+from hoistplank.distribution.messages import RequestLine, StatusRequest, VersionFields, encode
+from hoistplank.distribution.replica import Replica, ReplicaSettings
+from hoistplank.distribution.status import StatusAnswer
+from hoistplank.distribution.versions import Version
+from hoistplank.protocol.changelog import Known
+from hoistplank.routing.clock import Clock
+from hoistplank.routing.owner import Applied, Listed, Purged
+from hoistplank.standins.changelog import ChangeLog
+from hoistplank.standins.settings import listing, target
+from hoistplank.standins.wire import serve
+
+HORIZON_US = 60_000_000
+EPOCH = 7
+
+
+class TakingOwner:
+    """Stands for a dispatcher's owner: a turn each loop iteration, and it keeps what it was told."""
+
+    def __init__(self, clock: Clock | None = None) -> None:
+        self.clock = clock or Clock()
+        self.events: list[Any] = []
+        self.is_halted = False  # no turn is made: nothing that is told counts as applied
+
+    def tell(self, event: Any) -> None:
+        self.events.append(event)
+        if isinstance(event, Applied) and not self.is_halted:
+            asyncio.get_running_loop().call_soon(event.callback)
+
+    def turn(self) -> None:
+        """Makes up for the turns that were not made."""
+        self.is_halted = False
+        for event in self.events:
+            if isinstance(event, Applied):
+                event.callback()
+
+    @property
+    def purges(self) -> list[str]:
+        return [event.thing for event in self.events if isinstance(event, Purged)]
+
+    @property
+    def hosts(self) -> dict[str, str]:
+        """State by uid, as the lists told so far make it."""
+        found: dict[str, str] = {}
+        for event in self.events:
+            if isinstance(event, Listed) and event.form != "failed":
+                if event.form != "changes":
+                    found.clear()
+                for row in event.targets:
+                    found[row.uid] = row.state
+        return {uid: state for uid, state in found.items() if state != "gone"}
+
+    @property
+    def is_blind(self) -> bool:
+        """Whether the Router would ask for no copy past its fresh time."""
+        forms = [event.form for event in self.events if isinstance(event, Listed) and event.form != "failed"]
+        return bool(forms) and forms[-1] == "own"
+
+
+class Dispatcher:
+    """One follower with its owner; it refuses each configuration that holds the text 'bad'."""
+
+    def __init__(self, settings: FollowerSettings, seed: int = 1) -> None:
+        self.owner = TakingOwner()
+        self.configurations: list[tuple[Version, str]] = []
+        self.refuses = "bad"
+        self.follower = ReplicaFollower(
+            self.owner, settings, Known(), Random(f"{settings.name} {seed}"), prepare=self._prepare
+        )
+        self.tasks = [
+            asyncio.create_task(self.follower.run()),
+            asyncio.create_task(self.follower.configurations.run()),
+        ]
+
+    async def _prepare(self, version: Version, text: str) -> TakeUp:
+        if self.refuses in text:
+            raise ConfigurationRefused(f"configuration {version}:1:1: the form 'bad', expected a good one")
+        return lambda: self.configurations.append((version, text))
+
+    @property
+    def in_force(self) -> Version:
+        return self.follower.state.in_force().version.version()
+
+    async def stop(self) -> None:
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+
+
+class Rig:
+    """The whole of it; what is started here is ended here."""
+
+    def __init__(self, replicas: int = 2, epoch: int = EPOCH) -> None:
+        self.log = ChangeLog(epoch)
+        self.log_port = 0
+        self.wanted = replicas
+        self.replicas: list[Replica] = []
+        self.tasks: list[asyncio.Task[None]] = []
+        self.dispatchers: list[Dispatcher] = []
+        self.addresses: list[ReplicaAddress] = []
+
+    async def __aenter__(self) -> Rig:
+        self.log_port = await serve(self.log.talk)
+        for number in range(self.wanted):
+            self.start_replica(f"c{number + 1}")
+        self.connect_peers()
+        return self
+
+    def start_replica(self, name: str, port: int = 0, changelog: int | None = None, **more: Any) -> Replica:
+        settings = ReplicaSettings(
+            name=name,
+            listen=("127.0.0.1", port),
+            changelog=("127.0.0.1", changelog or self.log_port),
+            purge_horizon_us=HORIZON_US,
+            region="east",
+            **more,
+        )
+        replica = Replica(settings)
+        self.replicas.append(replica)
+        return replica
+
+    def connect_peers(self) -> None:
+        """Replicas get to know each other's ports, and run."""
+        self.addresses = [ReplicaAddress(one.name, "east", one.address) for one in self.replicas]
+        for replica in self.replicas[len(self.tasks) :]:
+            replica.follow_peers(peer for peer in self.addresses if peer.name != replica.name)
+            self.tasks.append(asyncio.create_task(replica.run()))
+
+    async def stop_replica(self, index: int) -> None:
+        self.tasks[index].cancel()
+        await asyncio.gather(self.tasks[index], return_exceptions=True)
+
+    def dispatcher(self, name: str, addresses: list[ReplicaAddress] | None = None, **more: Any) -> Dispatcher:
+        """Starts one; `addresses` in place of all replicas."""
+        settings = FollowerSettings(
+            name=name,
+            region="east",
+            incarnation=more.pop("incarnation", 1),
+            replicas=addresses or self.addresses,
+            **more,
+        )
+        made = Dispatcher(settings)
+        self.dispatchers.append(made)
+        return made
+
+    async def __aexit__(self, *_: object) -> None:
+        for dispatcher in self.dispatchers:
+            await dispatcher.stop()
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+
+    # What the log tells.
+
+    def hosts(self, number: int, whole: bool = False, **states: str) -> None:
+        rows = [target(uid, "box", 9, state) for uid, state in states.items()]
+        self.log.tell(listing(number, rows, whole=whole))
+
+    def purge(self, number: int, thing: str) -> None:
+        self.log.tell({"seq": number, "invalidate": {"object": thing, "time": 1.0}})
+
+
+async def asked(address: tuple[str, int], version: Version | None = None) -> StatusAnswer:
+    """A replica's status, over its socket."""
+    reader, writer = await asyncio.open_connection(*address, limit=1 << 24)
+    wanted = VersionFields(*version) if version is not None else None
+    writer.write(encode(RequestLine(status=StatusRequest(wanted))))
+    try:
+        return msgspec.json.decode(await reader.readline(), type=StatusAnswer)
+    finally:
+        writer.close()
