--- a/hoistplank/cli/control.py
+++ b/hoistplank/cli/control.py
@@ -1,4 +1,4 @@
-"""`hoistplank control`: the xDS control service, and what it would tell a follower."""
+"""`hoistplank control`: the xDS control service, what it would tell a follower, and control replicas."""
 
 from __future__ import annotations
 
@@ -13,12 +13,18 @@
 
 import click
 
+from hoistplank.cli.distribution import replica, status
 from hoistplank.cli.main import fail
 
 
 @click.group()
 def control() -> None:
-    """Hand the dispatcher's choices to proxies over xDS (docs/xds.md)."""
+    """Hand the dispatcher's choices to proxies over xDS (docs/xds.md), and the change log's events and
+    configurations to dispatchers (docs/distribution.md)."""
+
+
+control.add_command(replica)
+control.add_command(status)
 
 
 def _credentials(certificate: str | None, key: str | None, clients: str | None) -> Any:
--- a/tests/distribution_rig.py
+++ b/tests/distribution_rig.py
@@ -129,11 +129,12 @@
         )
         replica = Replica(settings)
         self.replicas.append(replica)
+        self.addresses = [known for known in self.addresses if known.name != name]
+        self.addresses.append(ReplicaAddress(name, "east", replica.address))
         return replica
 
     def connect_peers(self) -> None:
         """Replicas get to know each other's ports, and run."""
-        self.addresses = [ReplicaAddress(one.name, "east", one.address) for one in self.replicas]
         for replica in self.replicas[len(self.tasks) :]:
             replica.follow_peers(peer for peer in self.addresses if peer.name != replica.name)
             self.tasks.append(asyncio.create_task(replica.run()))
--- /dev/null
+++ b/tests/test_distribution_service.py
@@ -0,0 +1,198 @@
+"""A dispatcher that follows control replicas: what it takes up whole, refuses with key and place, and says while
+nobody is heard."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+from collections.abc import AsyncIterator, Coroutine
+from contextlib import asynccontextmanager
+from pathlib import Path
+from typing import Any
+
+import pytest
+import uvloop
+
+from hoistplank.distribution.follower import ReplicaFollower
+from hoistplank.distribution.messages import VersionFields
+from hoistplank.distribution.versions import Version
+from hoistplank.levels.service import LevelsService
+from hoistplank.program.service import Phase
+from hoistplank.standins.settings import listing
+from hoistplank.standins.wire import CacheHost
+from tests.distribution_rig import EPOCH, Rig, asked
+from tests.helpers import Running, until
+
+LEVELS = "(levels (retries {}))"
+
+
+def run(scene: Coroutine[Any, Any, None]) -> None:
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        runner.run(asyncio.wait_for(scene, 40))
+
+
+def served(id: str, fields: dict[str, str], body: bytes) -> bytes:
+    return f"{id} served detail=hit,digest=aa,dated=1 4\r\nwell\r\n".encode()
+
+
+def at(number: int) -> Version:
+    return Version(EPOCH, number)
+
+
+class Place:
+    """A dispatcher with its operator's file, and the replicas that it follows."""
+
+    def __init__(self, rig: Rig, dispatcher: Running) -> None:
+        self.rig, self.dispatcher = rig, dispatcher
+
+    @property
+    def follower(self) -> ReplicaFollower:
+        listing = self.dispatcher.service.listing
+        assert isinstance(listing, ReplicaFollower)
+        return listing
+
+    @property
+    def in_force(self) -> Version:
+        return self.follower.state.in_force().version.version()
+
+    @property
+    def configured(self) -> Version:
+        return self.follower.state.in_force().configuration.version()
+
+    @property
+    def retries(self) -> float:
+        """What the levels in force say: a figure to be seen."""
+        assert self.dispatcher.additions is not None
+        levels = self.dispatcher.additions.levels
+        assert isinstance(levels, LevelsService)
+        return levels.base.retry_share
+
+    async def page(self) -> int:
+        """The status of a request, on a new connection."""
+        self.dispatcher.client = await self.dispatcher.connect()
+        return (await self.dispatcher.ask(1, "page"))[0]
+
+    async def health(self) -> tuple[int, bytes]:
+        client = await self.dispatcher.connect()
+        client.send(1, "", script="/-/healthy")
+        _, status, _, body = await asyncio.wait_for(client.answer(), 5)
+        client.writer.close()
+        return status, body
+
+
+@asynccontextmanager
+async def place(folder: Path, silence: str = "7s", replicas: int = 1) -> AsyncIterator[Place]:
+    async with Rig(replicas) as rig:
+        rows = "".join(
+            f' (replica {one.name} (endpoint "127.0.0.1:{one.address[1]}") (region east))'
+            for one in rig.replicas
+        )
+        (folder / "op.sexp").write_text(
+            LEVELS.format(0.5) + f"\n(distribution (name d1) (region east) (silence {silence}){rows})"
+        )
+        dispatcher = Running(folder, {"a": CacheHost(served), "o": CacheHost(served)})
+        dispatcher.operator = True
+        async with dispatcher:
+            rig.log.tell(listing(1, dispatcher.targets, whole=True))
+            made = Place(rig, dispatcher)
+            await until(lambda: made.in_force == at(1))
+            yield made
+
+
+def test_a_dispatcher_takes_up_what_the_replicas_hand_on(tmp_path: Path) -> None:
+    async def scene() -> None:
+        async with place(tmp_path) as made:
+            router = made.dispatcher.service.owner.router
+            assert made.dispatcher.service.phase is Phase.SERVING and not router.blind
+            assert await made.health() == (200, b"")
+            made.rig.purge(2, "00" * 8)
+            made.rig.log.configure(3, LEVELS.format(0.25))
+            await until(lambda: made.in_force == at(3))
+            assert "00" * 8 in router.floors and made.retries == 0.25
+            assert await made.page() == 200
+            # A reload reads the dispatcher's own file, which is older than what was handed on.
+            os.kill(os.getpid(), signal.SIGHUP)
+            await until(lambda: not made.dispatcher.service.renewed.is_set())
+            await asyncio.sleep(0)
+            assert made.retries == 0.25 and made.configured == at(3)
+
+    run(scene())
+
+
+REFUSED = {
+    "wrong type": (LEVELS.format("often"), "1:18: 'often', expected a number from 0 to 1"),
+    "unknown form": ("(levles)", "1:1: the unknown form 'levles', expected 'levels'"),
+    "unbalanced": ("(levels (retries 0.5)", "1:1: a form that is never closed"),
+    "form that went": ("(log (format lines))", "'(levels …)' can't come or go while the program runs"),
+    "a local form": (
+        LEVELS.format(0.1) + "\n(distribution (replica c9 (endpoint 127.0.0.1:9)))",
+        "2:1: '(distribution …)' in a configuration that is handed on",
+    ),
+}
+
+
+@pytest.mark.parametrize("text, reason", REFUSED.values(), ids=REFUSED)
+def test_a_configuration_that_can_t_be_used_is_refused_whole_with_key_and_place(
+    tmp_path: Path, text: str, reason: str
+) -> None:
+    async def scene() -> None:
+        async with place(tmp_path) as made:
+            made.rig.log.configure(2, LEVELS.format(0.25))
+            await until(lambda: made.in_force == at(2))
+            made.rig.log.configure(3, text)
+            await until(lambda: made.in_force == at(3))
+            assert made.retries == 0.25 and made.configured == at(2)
+            await until(lambda: made.rig.replicas[0].table.in_force(0, at(3)).missing[0].refused != "")
+            status = await asked(made.rig.replicas[0].address, at(3))
+            assert status.change is not None and (status.change.in_force, status.change.total) == (0, 1)
+            (row,) = status.change.missing
+            assert row.dispatcher == "d1" and row.version == VersionFields(*at(2))
+            assert f"configuration {at(3)}" in row.refused and reason in row.refused
+            # The next one that can be used is taken up.
+            made.rig.log.configure(4, LEVELS.format(0.75))
+            await until(lambda: made.configured == at(4))
+            assert made.retries == 0.75
+
+    run(scene())
+
+
+def test_a_dispatcher_that_hears_nobody_says_so_and_asks_for_no_old_copy(tmp_path: Path) -> None:
+    async def scene() -> None:
+        async with place(tmp_path, silence="3s") as made:
+            owner = made.dispatcher.service.owner
+            port = made.rig.replicas[0].address[1]
+            await made.rig.stop_replica(0)
+            made.rig.purge(2, "ab")
+            await until(lambda: owner.router.blind)
+            status, body = await made.health()
+            assert status == 200 and body == f"no control replica heard; in force: {at(1)}".encode()
+            assert await made.page() == 200
+            assert set(owner.posts) == {"a", "o"}
+            # A replica that comes back with all there is ends it, the purge first.
+            made.rig.start_replica("c1", port)
+            made.rig.connect_peers()
+            await until(lambda: not owner.router.blind)
+            assert "ab" in owner.router.floors and (await made.health())[1] == b""
+
+    run(scene())
+
+
+def test_a_configuration_of_a_megabyte_is_taken_up_or_refused_whole(tmp_path: Path) -> None:
+    async def scene() -> None:
+        async with place(tmp_path) as made:
+            comment = "; " + "x" * 76 + "\n"
+            good = LEVELS.format(0.25) + "\n" + comment * (1_040_000 // len(comment))
+            made.rig.log.configure(2, good)
+            made.rig.purge(3, "ab")
+            await until(lambda: made.in_force == at(3))
+            assert made.retries == 0.25 and "ab" in made.dispatcher.service.owner.router.floors
+            made.rig.log.configure(4, good + LEVELS.format("often"))
+            await until(lambda: made.in_force == at(4))
+            refused = made.follower.state.in_force().refused
+            line = 1 + good.count("\n")
+            assert refused is not None and f"{line}:1: 'levels' a second time" in refused.reason
+            assert made.retries == 0.25 and len(json.dumps(good)) > 1_040_000
+
+    run(scene())
