--- a/hoistplank/distribution/log_follower.py
+++ b/hoistplank/distribution/log_follower.py
@@ -81,7 +81,10 @@
             self.awake()
             start, found = reader.read(buffer, start, end)
             for told in found:
-                self._check_epoch(told.epoch if isinstance(told, Event) else reader.epoch)
+                if isinstance(told, Event):
+                    self._check_epoch(told.epoch)
+                elif reader.epoch:
+                    self._check_epoch(reader.epoch)
                 self._take(told)
             return start
 
--- a/hoistplank/standins/changelog.py
+++ b/hoistplank/standins/changelog.py
@@ -18,6 +18,7 @@
 
     def __init__(self, epoch: int = 0) -> None:
         self.epoch = epoch
+        self._run = 0  # rises with each restart: connections of an earlier one end
         self.log: list[dict[str, Any]] = []
         self.since: list[int] = []  # the numbers from which those that connected asked
         self._told = asyncio.Event()
@@ -30,12 +31,21 @@
         self._told.set()
         self._told.clear()
 
+    def restart(self, epoch: int) -> None:
+        """It begins anew with nothing and counts from 1 again; all connections end."""
+        self.epoch, self._run = epoch, self._run + 1
+        self.log.clear()
+        self._lines.clear()
+        self._told.set()
+        self._told.clear()
+
     async def talk(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         at = int((await reader.readline()).split()[1])
         self.since.append(at)
+        run = self._run
         index, loop = 0, asyncio.get_running_loop()
         beat_at = loop.time() + HEARTBEAT_S
-        while True:
+        while run == self._run:
             # Danger: a scan of the whole log for each event makes an hour of events cost its square.
             while index < len(self.log):
                 if writer.is_closing():
--- a/tests/distribution_rig.py
+++ b/tests/distribution_rig.py
@@ -72,12 +72,12 @@
 class Dispatcher:
     """One follower with its owner; it refuses each configuration that holds the text 'bad'."""
 
-    def __init__(self, settings: FollowerSettings, seed: int = 1) -> None:
+    def __init__(self, settings: FollowerSettings, known: Known, seed: int = 1) -> None:
         self.owner = TakingOwner()
         self.configurations: list[tuple[Version, str]] = []
         self.refuses = "bad"
         self.follower = ReplicaFollower(
-            self.owner, settings, Known(), Random(f"{settings.name} {seed}"), prepare=self._prepare
+            self.owner, settings, known, Random(f"{settings.name} {seed}"), prepare=self._prepare
         )
         self.tasks = [
             asyncio.create_task(self.follower.run()),
@@ -99,6 +99,50 @@
         await asyncio.gather(*self.tasks, return_exceptions=True)
 
 
+class Relay:
+    """A path that can be cut: what it passes on it counts."""
+
+    def __init__(self, far: ReplicaAddress) -> None:
+        self.far = far
+        self.address = far
+        self.is_cut = False
+        self.passed = 0  # bytes from the far end
+        self._writers: list[asyncio.StreamWriter] = []
+
+    async def start(self) -> Relay:
+        self.address = self.far._replace(address=("127.0.0.1", await serve(self._talk)))
+        return self
+
+    def cut(self) -> None:
+        """Ends what stands, and lets nobody through until `join`."""
+        self.is_cut = True
+        for writer in self._writers:
+            writer.close()
+
+    def join(self) -> None:
+        self.is_cut = False
+
+    async def _talk(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        if self.is_cut:
+            return
+        far_reader, far_writer = await asyncio.open_connection(*self.far.address)
+        self._writers += [writer, far_writer]
+        back = asyncio.create_task(self._pass_on(far_reader, writer, True))
+        await self._pass_on(reader, far_writer, False)
+        await back
+
+    async def _pass_on(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, counts: bool
+    ) -> None:
+        try:
+            while data := await reader.read(65_536):
+                self.passed += len(data) * counts
+                writer.write(data)
+        except OSError:
+            pass
+        writer.close()
+
+
 class Rig:
     """The whole of it; what is started here is ended here."""
 
@@ -143,7 +187,13 @@
         self.tasks[index].cancel()
         await asyncio.gather(self.tasks[index], return_exceptions=True)
 
-    def dispatcher(self, name: str, addresses: list[ReplicaAddress] | None = None, **more: Any) -> Dispatcher:
+    def dispatcher(
+        self,
+        name: str,
+        addresses: list[ReplicaAddress] | None = None,
+        known: Known | None = None,
+        **more: Any,
+    ) -> Dispatcher:
         """Starts one; `addresses` in place of all replicas."""
         settings = FollowerSettings(
             name=name,
@@ -152,7 +202,7 @@
             replicas=addresses or self.addresses,
             **more,
         )
-        made = Dispatcher(settings)
+        made = Dispatcher(settings, known or Known())
         self.dispatchers.append(made)
         return made
 
@@ -165,6 +215,10 @@
 
     # What the log tells.
 
+    def restart_log(self, epoch: int) -> None:
+        """It begins anew with nothing, and ends the connections to it."""
+        self.log.restart(epoch)
+
     def hosts(self, number: int, whole: bool = False, **states: str) -> None:
         rows = [target(uid, "box", 9, state) for uid, state in states.items()]
         self.log.tell(listing(number, rows, whole=whole))
