--- a/hoistplank/distribution/acknowledgements.py
+++ b/hoistplank/distribution/acknowledgements.py
@@ -228,13 +228,8 @@
 
     def in_force(self, now_us: int, version: Version, kind: ChangeKind = ChangeKind.EVENT) -> ChangeStatus:
         """Who has a change in force. A configuration that was refused is not, nor its event."""
-        missing = []
-        for dispatcher, row in self._rows.items():
-            lacks = _lacks(row, version, kind)
-            if lacks is not None:
-                held, refused = lacks
-                missing.append(Missing(dispatcher, held, row.heard_us, row.is_connected, refused))
-        return ChangeStatus(version, len(self._rows), missing)
+        found = (_missing(dispatcher, row, version, kind) for dispatcher, row in self._rows.items())
+        return ChangeStatus(version, len(self._rows), [missing for missing in found if missing is not None])
 
     def fleet(self, now_us: int, newest: Version, configuration: Version, silence_us: int) -> FleetStatus:
         """The same for the newest event and the newest configuration; unheard: for longer than
@@ -272,13 +267,12 @@
         return dropped
 
 
-def _lacks(row: _Row, version: Version, kind: ChangeKind) -> tuple[Version, str] | None:
-    """What a dispatcher holds in place of a change and why, or None where it has it in force."""
-    in_force, refused = row.in_force, row.in_force.refused
-    if kind is ChangeKind.CONFIGURATION:
-        held = in_force.configuration.version()
-    else:
-        held = in_force.version.version()
-    if refused is not None and refused.version.version() == version:
-        return held, refused.reason
-    return None if held >= version else (held, "")
+def _missing(dispatcher: str, row: _Row, version: Version, kind: ChangeKind) -> Missing | None:
+    """What a dispatcher holds in place of a change, or None where it has it in force."""
+    in_force, reason = row.in_force, ""
+    held = (in_force.configuration if kind is ChangeKind.CONFIGURATION else in_force.version).version()
+    if in_force.refused is not None and in_force.refused.version.version() == version:
+        reason = in_force.refused.reason
+    elif held >= version:
+        return None
+    return Missing(dispatcher, held, row.heard_us, row.is_connected, reason)
