--- a/hoistplank/distribution/acknowledgements.py
+++ b/hoistplank/distribution/acknowledgements.py
@@ -13,6 +13,8 @@
 from dataclasses import dataclass
 from typing import NamedTuple
 
+import msgspec
+
 from hoistplank.distribution.messages import AcknowledgementRow, Follow, InForce
 from hoistplank.distribution.versions import NOTHING, Version
 
@@ -72,15 +74,33 @@
     unheard: list[Unheard]
 
 
+class _Progress(NamedTuple):
+    """The parts of an acknowledgement none of which ever goes back."""
+
+    version: Version
+    configuration: Version
+    decided: Version  # the newest configuration that was taken up or refused
+
+    @classmethod
+    def of(cls, in_force: InForce) -> _Progress:
+        configuration = in_force.configuration.version()
+        refused = in_force.refused.version.version() if in_force.refused is not None else NOTHING
+        return cls(in_force.version.version(), configuration, max(configuration, refused))
+
+    def is_behind(self, other: _Progress) -> bool:
+        return any(mine < theirs for mine, theirs in zip(self, other, strict=True))
+
+
 @dataclass(slots=True)
 class _Row:
     """What is known of one dispatcher."""
 
     incarnation: int
     region: str
-    in_force: InForce
     heard_us: int
     replica: str
+    in_force: InForce
+    progress: _Progress  # of `in_force`
     connections: int = 0  # to this replica: one that has ended may be noticed after the next has begun
     peer: str = ""  # the replica that told of it as connected there
     revision: int = 0
@@ -89,22 +109,13 @@
     def is_connected(self) -> bool:
         return self.connections > 0 or bool(self.peer)
 
-
-class _Progress(NamedTuple):
-    """The parts of an acknowledgement none of which ever goes back."""
-
-    version: Version
-    configuration: Version
-    decided: Version  # the newest configuration that was taken up or refused
-
-    @classmethod
-    def of(cls, in_force: InForce) -> _Progress:
-        configuration = in_force.configuration.version()
-        refused = in_force.refused.version.version() if in_force.refused is not None else NOTHING
-        return cls(in_force.version.version(), configuration, max(configuration, refused))
-
-    def is_behind(self, other: _Progress) -> bool:
-        return any(mine < theirs for mine, theirs in zip(self, other, strict=True))
+    def advance(self, in_force: InForce) -> bool:
+        """Takes an acknowledgement of this incarnation; False, and nothing changes, if any part went back."""
+        progress = _Progress.of(in_force)
+        if progress.is_behind(self.progress):
+            return False
+        self.in_force, self.progress = in_force, progress
+        return True
 
 
 class AcknowledgementTable:
@@ -128,12 +139,11 @@
             return Life.EARLIER
         if row is None and not self._has_room():
             return Life.NO_ROOM
-        says = InForce(follow.at)
         if row is None or follow.incarnation > row.incarnation:
-            row = _Row(follow.incarnation, follow.region, says, now_us, replica)
+            row = _new_row(follow.incarnation, follow.region, now_us, replica, InForce(follow.at))
             self._rows[follow.dispatcher] = row
-        elif not _Progress.of(says).version < _Progress.of(row.in_force).version:
-            row.in_force = InForce(follow.at, row.in_force.configuration, row.in_force.refused)
+        else:
+            row.advance(msgspec.structs.replace(row.in_force, version=follow.at))
         row.connections, row.replica, row.region = row.connections + 1, replica, follow.region
         row.peer = ""
         row.heard_us = max(row.heard_us, now_us)
@@ -149,11 +159,9 @@
         """What a dispatcher says to this replica; False, and nothing changes, if it is unknown, of another
         incarnation, or older than what stands."""
         row = self._rows.get(dispatcher)
-        if row is None or row.incarnation != incarnation:
-            return False
-        if _Progress.of(in_force).is_behind(_Progress.of(row.in_force)):
+        if row is None or row.incarnation != incarnation or not row.advance(in_force):
             return False
-        row.in_force, row.heard_us = in_force, max(row.heard_us, now_us)
+        row.heard_us = max(row.heard_us, now_us)
         self._changed(dispatcher, row)
         return True
 
@@ -176,11 +184,11 @@
             return False
         heard_us = now_us - told.heard_ago_us
         if row is None or told.incarnation > row.incarnation:
-            row = _Row(told.incarnation, told.region, told.in_force, heard_us, replica)
+            row = _new_row(told.incarnation, told.region, heard_us, replica, told.in_force)
             self._rows[told.dispatcher] = row
             self._own.pop(told.dispatcher, None)
-        elif not _Progress.of(told.in_force).is_behind(_Progress.of(row.in_force)):
-            row.in_force = told.in_force
+        else:
+            row.advance(told.in_force)
         row.heard_us = max(row.heard_us, heard_us)
         if told.connected:
             row.peer, row.region = replica, told.region
@@ -267,12 +275,16 @@
         return dropped
 
 
+def _new_row(incarnation: int, region: str, heard_us: int, replica: str, in_force: InForce) -> _Row:
+    return _Row(incarnation, region, heard_us, replica, in_force, _Progress.of(in_force))
+
+
 def _missing(dispatcher: str, row: _Row, version: Version, kind: ChangeKind) -> Missing | None:
     """What a dispatcher holds in place of a change, or None where it has it in force."""
-    in_force, reason = row.in_force, ""
-    held = (in_force.configuration if kind is ChangeKind.CONFIGURATION else in_force.version).version()
-    if in_force.refused is not None and in_force.refused.version.version() == version:
-        reason = in_force.refused.reason
+    progress, refused, reason = row.progress, row.in_force.refused, ""
+    held = progress.configuration if kind is ChangeKind.CONFIGURATION else progress.version
+    if refused is not None and refused.version.version() == version:
+        reason = refused.reason
     elif held >= version:
         return None
     return Missing(dispatcher, held, row.heard_us, row.is_connected, reason)
