--- a/hoistplank/distribution/state.py
+++ b/hoistplank/distribution/state.py
@@ -156,18 +156,16 @@
         return ReplicatedEvent(self.version.number, self.version.epoch, number, catch_up=catch_up)
 
     def _needs_whole_list(self, version: Version) -> bool:
-        return self._is_of_no_use(version) or version < self._hosts.whole_before
-
-    def _is_of_no_use(self, version: Version) -> bool:
-        """Whether nothing follows from `version`.
+        """Whether changes alone would not say which hosts to drop.
 
         Danger: replicas that hear of a new epoch at different times hold different ends of the old one.
         """
-        return version.epoch != self.version.epoch or version.number == 0
+        is_of_other_epoch = version.epoch != self.version.epoch
+        return is_of_other_epoch or version.number == 0 or version < self._hosts.whole_before
 
     def _parts(self, version: Version) -> list[Change]:
         """The changes to be told to a follower at `version`, beside a whole list where it needs one."""
-        lacking = self._index.since(NOTHING if self._is_of_no_use(version) else version)
+        lacking = self._index.since(version if version.number else NOTHING)
         if not self._needs_whole_list(version):
             return lacking
         return [change for change in lacking if change.purge is not None or change.configuration is not None]
