--- a/hoistplank/distribution/dispatcher_session.py
+++ b/hoistplank/distribution/dispatcher_session.py
@@ -7,9 +7,10 @@
 from typing import Protocol
 
 import structlog
+from msgspec.structs import replace
 
 from hoistplank.distribution.catch_up import CatchUpQueue
-from hoistplank.distribution.messages import Follow, Refusal, encode
+from hoistplank.distribution.messages import CatchUp, Follow, Refusal, encode
 from hoistplank.distribution.state import ReplicatedState
 from hoistplank.distribution.versions import Version
 from hoistplank.transport.connection import Connection
@@ -79,10 +80,25 @@
         """Its turn has come: the catch-up is sent a chunk at a time, the next when the last was taken."""
         state = self.replica.state
         self.phase, self._until = Phase.CATCHING_UP, state.version
-        self._pending = deque(_chunks(state.lines_since(self.at)))
+        self._pending = deque(_chunks(self._catch_up_lines()))
         self.connection.emptied = self._next_chunk
         self._next_chunk()
 
+    def _catch_up_lines(self) -> list[bytes]:
+        """What is lacking, as a catch-up also where it is one event.
+
+        Danger: while it waited it was told that a catch-up begins; an event outside of it is a gap then.
+        """
+        state = self.replica.state
+        lines = state.lines_since(self.at)
+        if len(lines) != 1:
+            return lines
+        (event,) = state.events_since(self.at)
+        begin = state.heartbeat_for(self.at)
+        part = replace(event, after=0, catch_up=CatchUp.PART)
+        end = replace(begin, catch_up=CatchUp.END)
+        return [encode(line) for line in (begin, part, end) if line is not part or not event.is_heartbeat]
+
     def _next_chunk(self) -> None:
         if self._pending:
             self.connection.send(self._pending.popleft())
--- a/hoistplank/distribution/follower_state.py
+++ b/hoistplank/distribution/follower_state.py
@@ -78,7 +78,6 @@
         if event.after == 0 or not self._follows(event):
             return Verdict.GAP
         self.told = version
-        self._informed()
         return Verdict.HEARTBEAT if event.is_heartbeat else self._hand_on(event)
 
     @property
@@ -108,7 +107,7 @@
         if event.version < self._newest:
             return Verdict.GAP
         self._catch_up_ended(event.version)
-        return self._informed()
+        return Verdict.HEARTBEAT
 
     def _catch_up_ended(self, version: Version) -> None:
         if self._complete >= self._inside_until:  # else an earlier catch-up is not applied yet: both are one
@@ -178,6 +177,10 @@
             self._proved_us, self._burst_us = self._burst_us, now_us
 
     def _informed(self) -> Verdict:
+        """A heartbeat that says that nothing is newer than what was told.
+
+        Danger: events and the end of a catch-up come from a replica that does not hear the change log, too.
+        """
         if self._proved_us is not None:
             self._informed_us = max(self._proved_us, self._informed_us or 0)
         return Verdict.HEARTBEAT
