--- a/hoistplank/standins/changelog.py
+++ b/hoistplank/standins/changelog.py
@@ -11,25 +11,41 @@
 
 
 class ChangeLog:
-    """`talk` serves a connection, `tell` adds an event; both in one event loop."""
+    """`talk` serves a connection, `tell` adds an event; both in one event loop.
 
-    def __init__(self) -> None:
+    `epoch`: told in each line where it is above 0, as by a log that says when it counts anew.
+    """
+
+    def __init__(self, epoch: int = 0) -> None:
+        self.epoch = epoch
+        self._run = 0  # rises with each restart: connections of an earlier one end
         self.log: list[dict[str, Any]] = []
         self.since: list[int] = []  # the numbers from which those that connected asked
         self._told = asyncio.Event()
         self._lines: dict[int, bytes] = {}  # by number: each event is encoded once, for all followers
 
     def tell(self, event: dict[str, Any]) -> None:
+        if self.epoch:
+            event = event | {"epoch": self.epoch}
         self.log.append(event)
         self._told.set()
         self._told.clear()
 
+    def restart(self, epoch: int) -> None:
+        """It begins anew with nothing and counts from 1 again; all connections end."""
+        self.epoch, self._run = epoch, self._run + 1
+        self.log.clear()
+        self._lines.clear()
+        self._told.set()
+        self._told.clear()
+
     async def talk(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         at = int((await reader.readline()).split()[1])
         self.since.append(at)
+        run = self._run
         index, loop = 0, asyncio.get_running_loop()
         beat_at = loop.time() + HEARTBEAT_S
-        while True:
+        while run == self._run:
             # Danger: a scan of the whole log for each event makes an hour of events cost its square.
             while index < len(self.log):
                 if writer.is_closing():
@@ -51,9 +67,16 @@
                     return
                 # Its own number, also where the follower's is above it: it tells a log that began anew.
                 last = self.log[-1]["seq"] if self.log else at
-                writer.write(b'{"seq":%d}\n' % last)
+                writer.write(json.dumps({"seq": last} | self._epoch_field()).encode() + b"\n")
                 beat_at = loop.time() + HEARTBEAT_S
 
+    def configure(self, number: int, text: str) -> None:
+        """Tells a configuration: the text of an operator's file."""
+        self.tell({"seq": number, "configuration": {"text": text}})
+
+    def _epoch_field(self) -> dict[str, int]:
+        return {"epoch": self.epoch} if self.epoch else {}
+
     def _next_lines(self, index: int, at: int) -> tuple[int, int, bytes]:
         """The next lines for a follower that stands at `index` and has been told up to number `at`."""
         lines, size = list[bytes](), 0
