--- a/hoistplank/cli/distribution.py
+++ b/hoistplank/cli/distribution.py
@@ -24,7 +24,7 @@
 from hoistplank.protocol.errors import BadBytes
 
 LOOPBACK = ("127.", "localhost:", "[::1]:")
-# What a copy from before a purge may outlive the purge by beside the floors: clocks and ways between replicas.
+# What a copy from before a purge may outlive it by, beside the floors: clocks and paths between replicas.
 HORIZON_MARGIN_US = 60_000_000
 MOST_NAMED = 20  # missing dispatchers that a person is told by name
 
--- a/hoistplank/distribution/follower.py
+++ b/hoistplank/distribution/follower.py
@@ -65,7 +65,7 @@
 
 
 class ReplicaFollower(Listing):
-    """Follows control replicas for an owner; `run` and `configurations.run` go on until they are cancelled."""
+    """Follows control replicas for an owner; `run` and `configurations.run` go on until cancelled."""
 
     def __init__(
         self,
@@ -297,10 +297,11 @@
 async def _is_there(address: tuple[str, int]) -> bool:
     """Whether somebody takes connections there."""
     loop = asyncio.get_running_loop()
-    with contextlib.suppress(OSError, ValueError):
+    try:
         with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as sock:
             sock.setblocking(False)
             async with asyncio.timeout(CONNECT_S):
                 await loop.sock_connect(sock, address)
-            return True
-    return False
+    except (OSError, ValueError):
+        return False
+    return True
--- a/hoistplank/distribution/log_follower.py
+++ b/hoistplank/distribution/log_follower.py
@@ -18,7 +18,7 @@
 from hoistplank.transport.connection import Consume
 
 log = structlog.get_logger()
-# A log that tells events all the time may tell no bare number: so long after its first event it counts as read.
+# A log that tells events all the time may tell no bare number: so long after its first event it is read.
 SETTLED_US = 500_000
 # After a standstill of this process of such length, lines that wait say nothing of the present for so long.
 STANDSTILL_US, DISTRUST_US = 1_000_000, 500_000
--- a/hoistplank/distribution/replica.py
+++ b/hoistplank/distribution/replica.py
@@ -1,7 +1,7 @@
 """A control replica: follows the change log, hands its events on to dispatchers, and knows what is in force.
 
-It has no state of its own beside memory: at a start it reads the change log anew, and its peers and dispatchers
-tell it what is in force. It works alone where the peers are gone.
+It has no state beside memory: at a start it reads the change log anew, and its peers and dispatchers tell it
+what is in force. It works alone where the peers are gone.
 """
 
 from __future__ import annotations
--- a/tests/test_distribution.py
+++ b/tests/test_distribution.py
@@ -1,4 +1,4 @@
-"""Distribution: the change log's events through control replicas to dispatchers, and what is in force there."""
+"""Distribution: the log's events through control replicas to dispatchers, and what is in force there."""
 
 from __future__ import annotations
 
--- a/tests/test_distribution_service.py
+++ b/tests/test_distribution_service.py
@@ -1,5 +1,5 @@
-"""A dispatcher that follows control replicas: what it takes up whole, refuses with key and place, and says while
-nobody is heard."""
+"""A dispatcher that follows control replicas: what it takes up whole, refuses with key and place, and says
+while nobody is heard."""
 
 from __future__ import annotations
 
