--- a/hoistplank/distribution/follower.py
+++ b/hoistplank/distribution/follower.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import socket
 from collections.abc import Sequence
 from dataclasses import dataclass
