Scale run through control replicas: real replicas, paths between regions, one of them killed

--through replicas: a hoistplank control replica process in each region, hollow dispatchers that follow by the program's own ReplicaFollower, configurations handed on and acknowledged. Claims: replicas count only what dispatchers have in force, know the whole fleet at the end, and take half of a core at most.

--- a/benchmarks/scale.py
+++ b/benchmarks/scale.py
@@ -25,7 +25,7 @@
 from hoistplank.lab.scale import run_broken
 from hoistplank.lab.scale.hollow_pairing import Pairing, PairingPlan, paired
 from hoistplank.lab.scale.measurements import RunInfo, write
-from hoistplank.lab.scale.run import Played, RunLost, ScaleRun
+from hoistplank.lab.scale.run import LOG, REPLICAS, Played, RunLost, ScaleRun
 from hoistplank.lab.scale.run_children import ChildLost
 from hoistplank.lab.scale.run_record import records
 from hoistplank.lab.scale.run_verdict import OF_TIME, RATIO_LEAST, RATIO_MOST, Verdict, judged
@@ -116,6 +116,7 @@
         "windows": msgspec.to_builtins(found.windows),
         "stragglers": found.stragglers,
         "last_most_often": found.slowest,
+        "replica_answers": len(played.statuses),
         "reconnects": sum({row.process: row.reconnects for row in played.usage.hollow}.values()),
         "hollow_rss_mb": round(rss_kb / 1_024),
         "relays": played.relays,
@@ -125,7 +126,7 @@
 
 def main() -> int:
     parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--through", default="log", help="what hands events on to dispatchers")
+    parser.add_argument("--through", choices=(LOG, REPLICAS), default=LOG, help="what dispatchers follow")
     parser.add_argument("--scene", type=Path, default=SCENES / ("quick.sexp" if QUICK else "fleet.sexp"))
     parser.add_argument("--out", type=Path, help="a Parquet file that takes what was measured")
     chosen = parser.parse_args()
--- a/deploy/scale/fleet.sexp
+++ b/deploy/scale/fleet.sexp
@@ -23,8 +23,9 @@
   (at 140s (machines 4 for 10s))
   (at 165s (rack 0.05 for 15s))
   (at 200s (zone z3 for 20s))
-  (at 240s (restart within 60s))
-  (at 320s (renew-log))
+  (at 228s (replica for 8s))
+  (at 245s (restart within 60s))
+  (at 325s (renew-log))
   (at 350s (stall for 60s))
   ; Two regions lose each other for an hour, played at 60 times the pace. The source stands in one of them: the
   ; other's dispatchers hear nothing.
--- a/deploy/scale/quick.sexp
+++ b/deploy/scale/quick.sexp
@@ -14,6 +14,7 @@
   (at 8s (machines 4 for 1s))
   (at 9500ms (rack 0.05 for 1s))
   (at 11s (zone z1 for 2s))
+  (at 13s (replica for 1s))
   (at 14s (restart within 2s))
   (at 17s (renew-log))
   (at 21s (stall for 1s))
--- a/hoistplank/lab/scale/broken.py
+++ b/hoistplank/lab/scale/broken.py
@@ -6,7 +6,7 @@
 import time
 from typing import Any
 
-from hoistplank.lab.scale.hollow import Hearer, HollowDispatcher, ReportingOwner
+from hoistplank.lab.scale.hollow import BeforeTurn, HollowDispatcher, HollowOwner, ReportingOwner
 from hoistplank.routing.clock import Clock
 from hoistplank.routing.owner import Event, Listed, Purged
 from hoistplank.standins.changelog import ChangeLog
@@ -25,6 +25,7 @@
 
     def __init__(self, owner: ReportingOwner) -> None:
         self.owner, self.clock, self.purges = owner, owner.clock, 0
+        self.before_turn: BeforeTurn | None = None
 
     def tell(self, event: Event) -> None:
         if isinstance(event, Purged):
@@ -37,7 +38,7 @@
 class DropsPurges(HollowDispatcher):
     """Loses purges on the way to its Router, and acknowledges them."""
 
-    def hearer(self) -> Hearer:
+    def hearer(self) -> HollowOwner:
         assert self.owner is not None
         return PurgeDropper(self.owner)
 
@@ -47,6 +48,7 @@
 
     def __init__(self, dispatcher: HollowDispatcher, owner: ReportingOwner) -> None:
         self.dispatcher, self.owner, self.clock = dispatcher, owner, owner.clock
+        self.before_turn: BeforeTurn | None = None
 
     def tell(self, event: Event) -> None:
         self.dispatcher.applied()
@@ -56,7 +58,7 @@
 class AcknowledgesEarly(HollowDispatcher):
     """Says that it has in force what waits in its queue."""
 
-    def hearer(self) -> Hearer:
+    def hearer(self) -> HollowOwner:
         assert self.owner is not None
         return EarlyHearer(self, self.owner)
 
--- a/hoistplank/lab/scale/faults.py
+++ b/hoistplank/lab/scale/faults.py
@@ -9,6 +9,7 @@
 
 from hoistplank.lab.model.faults import Event
 from hoistplank.lab.scale.fleet import Fleet, Seat
+from hoistplank.lab.scale.run_paths import Cut
 from hoistplank.lab.scale.scene import S, lasts_us
 
 REFUSED_AFTER_S = 3.0  # of a cut path: until then its silence alone shows it
@@ -41,11 +42,14 @@
     def start(self, numbers: list[int]) -> None:
         """They are back, with nothing."""
 
-    def cut(self, sites: list[int], silent: bool) -> None:
-        """Nothing comes through between these sites and the source, or all does again."""
+    def cut(self, cut: Cut, silent: bool) -> None:
+        """Nothing comes through to or from what is cut off, or all does again."""
 
-    def refuse(self, sites: list[int], refused: bool) -> None:
-        """Connections from these sites to the source are refused, or taken again."""
+    def refuse(self, cut: Cut, refused: bool) -> None:
+        """Connections to or from what is cut off are refused, or taken again."""
+
+    async def lose_replica(self, number: int, lost: bool) -> int:
+        """A control replica's process is gone, or started again; how many that are: 0 where there is none."""
 
     def stall(self, stalled: bool) -> int:
         """The one dispatcher that has a process to itself stands still, or goes on; its number."""
@@ -90,24 +94,31 @@
         return await self._machines(seconds, round(share * self.rig.fleet.dispatchers), None)
 
     async def _zone(self, seconds: float, zone: str, _: Any) -> int:
-        sites = [seat.site for seat in self.rig.seats if seat.zone == int(zone[1:])]
-        return await self._cut_off(sites, seconds)
+        sites = {seat.site for seat in self.rig.seats if seat.zone == int(zone[1:])}
+        return await self._cut_off(Cut(sites=tuple(sorted(sites))), seconds)
 
     async def _apart(self, seconds: float, many: int, *_: Any) -> int:
         lost = self.chance.sample(range(self.rig.fleet.regions), many)
-        return await self._cut_off([seat.site for seat in self.rig.seats if seat.region in lost], seconds)
+        return await self._cut_off(Cut(regions=tuple(sorted(lost))), seconds)
 
-    async def _cut_off(self, each: list[int], seconds: float) -> int:
+    async def _cut_off(self, cut: Cut, seconds: float) -> int:
         """Silence first. Later connections are refused as well: a relay would keep every one that was begun
         in the silence and given up, and carry them all out at its end, which no network does."""
-        sites, quiet_s = sorted({*each}), min(REFUSED_AFTER_S, seconds)
-        self.rig.cut(sites, True)
+        quiet_s = min(REFUSED_AFTER_S, seconds)
+        self.rig.cut(cut, True)
         await asyncio.sleep(quiet_s)
-        self.rig.refuse(sites, True)
+        self.rig.refuse(cut, True)
         await asyncio.sleep(seconds - quiet_s)
-        self.rig.cut(sites, False)
-        self.rig.refuse(sites, False)
-        return len(each)
+        self.rig.cut(cut, False)
+        self.rig.refuse(cut, False)
+        return sum(cut.holds(seat) for seat in self.rig.seats)
+
+    async def _replica(self, seconds: float, _: Any) -> int:
+        number = self.chance.randrange(self.rig.fleet.regions)
+        lost = await self.rig.lose_replica(number, True)
+        await asyncio.sleep(seconds)
+        await self.rig.lose_replica(number, False)
+        return lost
 
     async def _restart(self, seconds: float, _: Any) -> int:
         numbers = list(range(self.rig.fleet.dispatchers))
--- a/hoistplank/lab/scale/hollow.py
+++ b/hoistplank/lab/scale/hollow.py
@@ -20,9 +20,10 @@
 from hoistplank.protocol.changelog import Known
 from hoistplank.routing.clock import Clock
 from hoistplank.routing.listing import Listing
-from hoistplank.routing.owner import Event, Owner
+from hoistplank.routing.owner import Event, Listed, Owner
 
 OPEN_CAP = 100
+BeforeTurn = Callable[[int], Listed | None]
 
 
 @dataclass(frozen=True, slots=True, order=True)
@@ -33,10 +34,11 @@
     number: int
 
 
-class Hearer(Protocol):
-    """Who is told what the source says, as `routing.listing.Hearer`."""
+class HollowOwner(Protocol):
+    """Who is told what the source says: the owner, or what a broken build puts before it."""
 
     clock: Clock
+    before_turn: BeforeTurn | None
 
     def tell(self, event: Event) -> None: ...
 
@@ -47,6 +49,9 @@
     def position(self) -> Position:
         """Up to where all that the source told has been handed to the hearer."""
 
+    def configured(self) -> Position:
+        """Where the source hands on configurations: which one was taken up last."""
+
     def reconnects(self) -> int:
         """Connections to the source that were lost."""
 
@@ -55,24 +60,28 @@
 
 @dataclass(frozen=True, slots=True)
 class Source:
-    """Where a dispatcher follows, and what it is started with. `epoch`: the source's at the start."""
+    """Who a dispatcher is, where it follows, and what it is started with. `life` rises with each start of it;
+    `epoch`: the source's at the start."""
 
-    address: tuple[str, int]
+    name: str
+    region: str
+    life: int
+    addresses: list[tuple[str, int]]
     known: Known
     epoch: int
     chance: Random
     grace_s: float
 
 
-FollowerFactory = Callable[[Hearer, Source], Follower]
+FollowerFactory = Callable[[HollowOwner, Source], Follower]
 
 
 class LogFollower:
     """Follows the change log by the program's own `Listing`."""
 
-    def __init__(self, hearer: Hearer, source: Source) -> None:
+    def __init__(self, hearer: HollowOwner, source: Source) -> None:
         self._epoch, self._heard = source.epoch, source.known.seq
-        self.listing = Listing(hearer, source.address, source.known, source.chance, source.grace_s)
+        self.listing = Listing(hearer, source.addresses[0], source.known, source.chance, source.grace_s)
         self.listing.watch = self
 
     def heard(self, event: LogEvent) -> LogEvent:
@@ -89,6 +98,9 @@
     def position(self) -> Position:
         return Position(self._epoch, self._heard)
 
+    def configured(self) -> Position:
+        return Position(0, 0)
+
     def reconnects(self) -> int:
         return self.listing.complaints.counts.get("change log lost", 0)
 
@@ -96,9 +108,6 @@
         await self.listing.run()
 
 
-FOLLOWERS: dict[str, FollowerFactory] = {"log": LogFollower}
-
-
 class ReportingOwner(Owner):
     """The program's owner; `applied` is called after each turn, with all that was told carried out."""
 
@@ -150,7 +159,7 @@
     def make_owner(self, seed: int) -> ReportingOwner:
         return ReportingOwner(self.site, seed, Clock(), self.applied)
 
-    def hearer(self) -> Hearer:
+    def hearer(self) -> HollowOwner:
         assert self.owner is not None
         return self.owner
 
--- a/hoistplank/lab/scale/hollow_audit.py
+++ b/hoistplank/lab/scale/hollow_audit.py
@@ -29,8 +29,11 @@
     def knows(self, position: Position) -> bool:
         return position.number < len(self.events.get(position.epoch, ()))
 
-    def missing(self, router: Router, before: Position, now: Position) -> list[tuple[int, str]]:
+    def missing(
+        self, router: Router, configured: Position, before: Position, now: Position
+    ) -> list[tuple[int, str]]:
         """Of the events after `before` up to `now`, those that are not in force: number and what is wrong.
+        `configured`: the configuration that was taken up last.
 
         Where several events speak of one host, the last one counts. Danger: this runs for each event at each
         dispatcher of the process: what it costs, it takes from them.
@@ -46,6 +49,8 @@
                 if floors.get(event.purged, none)[0] < event.made_us:
                     wrong += self._under_all(router, event)
                 continue
+            if event.configures and configured < Position(event.epoch, event.number):
+                wrong.append((event.number, f"configuration, {configured} is in force"))
             for state in event.hosts:
                 latest[state.host] = event.number, state
         for number, state in latest.values():
--- a/hoistplank/lab/scale/hollow_messages.py
+++ b/hoistplank/lab/scale/hollow_messages.py
@@ -8,12 +8,14 @@
 
 
 class HollowSeat(msgspec.Struct, frozen=True):
-    """One hollow dispatcher: its number and name in the fleet, its settings, and the port of its source."""
+    """One hollow dispatcher: its number, name and region in the fleet, its settings, and the ports of its
+    source: of the change log, or of each control replica."""
 
     number: int
     name: str
+    region: str
     settings: dict[str, Any]
-    port: int
+    ports: list[int]
 
 
 class HollowPlan(msgspec.Struct, frozen=True):
@@ -60,6 +62,7 @@
     purged: str = ""
     made_us: int = 0
     hosts: list[HostState] = []
+    configures: bool = False
 
 
 class AskUsage(msgspec.Struct, frozen=True, tag="usage"):
@@ -122,7 +125,10 @@
 
 
 class BeginAnew(msgspec.Struct, frozen=True, tag="anew"):
-    """Lose all events and connections, as a log does that restarts without its state, and count from 1."""
+    """Lose all events and connections, as a log does that restarts without its state, and count from 1.
+    `epoch`: told from then on, 0 for none."""
+
+    epoch: int = 0
 
 
 class AskLogUsage(msgspec.Struct, frozen=True, tag="usage"):
--- a/hoistplank/lab/scale/hollow_pairing.py
+++ b/hoistplank/lab/scale/hollow_pairing.py
@@ -212,7 +212,8 @@
     def _child(self, seats: list[Seat], port: int, audited: bool) -> HollowChild:
         # Danger: what the rig does for each event would count as a dispatcher's in a process of one.
         rows = [
-            HollowSeat(seat.number, seat.name, self.fleet.settings(seat, LIFETIME_S), port) for seat in seats
+            HollowSeat(seat.number, seat.name, "", self.fleet.settings(seat, LIFETIME_S), [port])
+            for seat in seats
         ]
         numbers = [seat.number for seat in seats]
         plan = HollowPlan(rows, self.known, "log", self.plan.broken, numbers, self.plan.seed, audited)
--- a/hoistplank/lab/scale/hollow_process.py
+++ b/hoistplank/lab/scale/hollow_process.py
@@ -20,7 +20,7 @@
 from hoistplank.facts import Fields, flat, site
 from hoistplank.interface import Site
 from hoistplank.lab.scale.broken import HOLLOW
-from hoistplank.lab.scale.hollow import FOLLOWERS, HollowDispatcher, Position, Source
+from hoistplank.lab.scale.hollow import FollowerFactory, HollowDispatcher, LogFollower, Position, Source
 from hoistplank.lab.scale.hollow_audit import Auditor
 from hoistplank.lab.scale.hollow_messages import (
     Acknowledged,
@@ -44,6 +44,15 @@
 MOST_FALSE = 1_000  # told of a process: one that lies always would fill the pipe
 
 
+def follower_factory(through: str) -> FollowerFactory:
+    """What follows the change log, or control replicas."""
+    if through == "replicas":
+        from hoistplank.lab.scale.hollow_replicas import ReplicaFollowing
+
+        return ReplicaFollowing
+    return LogFollower
+
+
 def resident_kb() -> int:
     """The memory of this process now (Linux)."""
     pages = int(Path("/proc/self/statm").read_text().split()[1])
@@ -61,7 +70,7 @@
 
     def __init__(self, plan: HollowPlan, send: asyncio.WriteTransport) -> None:
         self.plan, self.send = plan, send
-        self.factory = FOLLOWERS[plan.through]
+        self.factory = follower_factory(plan.through)
         self.known = msgspec.convert(plan.known, Known)
         self.seats = {seat.number: seat for seat in plan.seats}
         self.dispatchers = {seat.number: self._dispatcher(seat) for seat in plan.seats}
@@ -93,8 +102,9 @@
     def _audit(self, dispatcher: HollowDispatcher, before: Position, now: Position) -> None:
         if dispatcher.owner is None:
             return
-        router = dispatcher.owner.router
-        for number, what in self.auditor.missing(router, before, now):
+        follower = dispatcher.follower
+        configured = follower.configured() if follower is not None else Position(0, 0)
+        for number, what in self.auditor.missing(dispatcher.owner.router, configured, before, now):
             self.false_told += 1
             if self.false_told <= MOST_FALSE:
                 self.report(FalseAcknowledgement(dispatcher.number, now.epoch, number, what))
@@ -140,11 +150,20 @@
         dispatcher = self.dispatchers[seat.number]
         dispatcher.lives += 1
         chance = Random(f"{self.plan.seed}/{seat.number}/{dispatcher.lives}")
-        # The list of the start belongs to the first epoch; a later one begins with its own.
-        known = self.known if epoch == 0 else Known()
-        grace_s = dispatcher.site.rules.drain_us / 1e6
+        # The list of the start belongs to the log's first epoch; a later one begins with its own.
+        known = self.known if epoch <= 1 else Known()
+        source = Source(
+            name=seat.name,
+            region=seat.region,
+            life=dispatcher.lives,
+            addresses=[("127.0.0.1", port) for port in seat.ports],
+            known=known,
+            epoch=epoch,
+            chance=chance,
+            grace_s=dispatcher.site.rules.drain_us / 1e6,
+        )
         dispatcher.audited = Position(epoch, known.seq)
-        dispatcher.start(self.factory, Source(("127.0.0.1", seat.port), known, epoch, chance, grace_s))
+        dispatcher.start(self.factory, source)
 
     def _usage(self) -> Usage:
         each = list(self.dispatchers.values())
--- a/hoistplank/lab/scale/replay.py
+++ b/hoistplank/lab/scale/replay.py
@@ -28,11 +28,12 @@
     """The source's state: its epoch and number, and the cache hosts as they were last told.
 
     A configuration change is told as other capacities of one zone's cache hosts: the only configuration that
-    the change log carries to a running dispatcher, and in size like an operator's file.
+    the change log carries to a running dispatcher, and in size like an operator's file. Where replicas hand
+    configurations on, it is told as one: `configuration` is its text, to which its number is added.
     """
 
-    def __init__(self, fleet: Fleet) -> None:
-        self.fleet, self.epoch, self.number = fleet, 0, 0
+    def __init__(self, fleet: Fleet, epoch: int = 0, configuration: str = "") -> None:
+        self.fleet, self.epoch, self.number, self.configuration = fleet, epoch, 0, configuration
         self.units = [FIRST_UNITS] * fleet.hosts
         self.boot_ms = [0] * fleet.hosts
         self.states = ["ready"] * fleet.hosts
@@ -67,6 +68,11 @@
                 return self._listed(HOST, [host])
 
     def _change(self, number: int) -> Told:
+        if self.configuration:
+            self.number += 1
+            text = f"; change {number}\n{self.configuration}"
+            event = {"seq": self.number, "configuration": {"text": text}}
+            return Told(CHANGE, event, Expect(self.epoch, self.number, configures=True))
         zones = self.fleet.zones
         hosts = [host for host in range(self.fleet.hosts) if host % zones == number % zones]
         for host in hosts:
--- a/hoistplank/lab/scale/run.py
+++ b/hoistplank/lab/scale/run.py
@@ -1,7 +1,8 @@
 """The scale run: a whole fleet of hollow dispatchers on loopback, what is told to it, and its faults.
 
-The change log and the hollow dispatchers are child processes; each site reaches the log through a relay of
-its own, which faults cut. All times are of the machine's monotonic clock, which its processes share.
+The change log, control replicas and hollow dispatchers are child processes; each site reaches what it follows
+through relays of its own, which faults cut. All times are of the machine's monotonic clock, which its
+processes share.
 """
 
 from __future__ import annotations
@@ -10,10 +11,11 @@
 import time
 from collections.abc import Callable
 from dataclasses import dataclass
+from itertools import count
 from random import Random
 from typing import Any
 
-from hoistplank.lab.fleet.relays import RelayLost, Relays
+from hoistplank.lab.fleet.relays import RelayLost
 from hoistplank.lab.scale.faults import FaultPlayer, Strike
 from hoistplank.lab.scale.hollow_messages import (
     Acknowledged,
@@ -29,15 +31,30 @@
 from hoistplank.lab.scale.run_children import ChildLost, HollowChild, LogChild
 from hoistplank.lab.scale.run_delays import Deliveries
 from hoistplank.lab.scale.run_lateness import Lateness
-from hoistplank.lab.scale.run_usage import LEAST_SHARED, HollowSample, LogSample, UsageSeries
+from hoistplank.lab.scale.run_paths import Cut, LogPaths, ReplicaPaths
+from hoistplank.lab.scale.run_replicas import ReplicaLost, Replicas
+from hoistplank.lab.scale.run_usage import LEAST_SHARED, HollowSample, LogSample, PathSample, UsageSeries
 from hoistplank.lab.scale.scene import S, Scene
 from hoistplank.lab.scale.scene_schedule import Planned, schedule
 
-RELAYS = 2
 SAMPLE_S = 1.0
 TURN_S = 0.005  # what is due is told at least so finely
 START_GROUP, START_PAUSE_S = 40, 0.1  # dispatchers that are started at a time, at the beginning
 END_S = 3.0  # after the scene's end, for what was told last
+STATUS_EVERY = 5  # samples between questions to the replicas
+LOG, REPLICAS = "log", "replicas"  # what dispatchers follow
+# What a configuration change hands on where replicas do: of the size of an operator's file.
+CONFIGURATION = """
+(log (format lines))
+(levels
+  (retries 1)
+  (level core-full
+    (enter lag above 80 for 500ms)
+    (leave lag below 20 for 5s)
+    (dwell 20s)
+    (turn-back tile)
+    (shots 2)))
+"""
 
 
 class RunLost(Exception):
@@ -54,6 +71,18 @@
     log: str = ""
 
 
+@dataclass(frozen=True, slots=True)
+class ReplicaStatus:
+    """What a replica answered: an event, and at how many dispatchers it is in force by its word."""
+
+    at_us: int
+    replica: str
+    epoch: int
+    number: int
+    in_force: int
+    total: int
+
+
 @dataclass(slots=True)
 class Played:
     """What a run leaves to be judged. Times of `strikes` count from `began_us`."""
@@ -67,6 +96,7 @@
     false: list[FalseAcknowledgement]
     empty_kb: dict[int, int]
     relays: dict[str, Any]
+    statuses: list[ReplicaStatus]
 
 
 def monotonic_us() -> int:
@@ -80,7 +110,7 @@
         self,
         scene: Scene,
         seed: int,
-        through: str = "log",
+        through: str = LOG,
         broken: Broken | None = None,
         progress: Callable[[str], None] | None = None,
     ) -> None:
@@ -88,8 +118,16 @@
         self.broken = broken or Broken()
         self.progress = progress or (lambda line: None)
         self.fleet, self.seats = scene.fleet, scene.fleet.seats()
-        self.teller, self.log = Teller(scene.fleet), LogChild(self.broken.log)
-        self.relays, self.lateness, self.usage = Relays(), Lateness(), UsageSeries()
+        self.replicas = Replicas(scene.fleet) if through == REPLICAS else None
+        self.paths: LogPaths | ReplicaPaths
+        if self.replicas is None:
+            self.paths, self.teller = LogPaths(scene.fleet), Teller(scene.fleet)
+        else:
+            self.paths = ReplicaPaths(scene.fleet)
+            # A log that tells its epoch: replicas could not tell a new one from the old one otherwise.
+            self.teller = Teller(scene.fleet, 1, CONFIGURATION)
+        self.log, self.lateness, self.usage = LogChild(self.broken.log), Lateness(), UsageSeries()
+        self.statuses: list[ReplicaStatus] = []
         self.deliveries = Deliveries([seat.name for seat in self.seats])
         self.false: list[FalseAcknowledgement] = []
         self.children: list[HollowChild] = []
@@ -104,7 +142,7 @@
         try:
             await self._begin()
             relays = await self._play()
-        except (ChildLost, RelayLost, OSError) as wrong:
+        except (ChildLost, RelayLost, ReplicaLost, OSError) as wrong:
             raise RunLost(str(wrong)) from wrong
         finally:
             await self._end()
@@ -118,26 +156,33 @@
             false=self.false,
             empty_kb={n: child.empty_rss_kb for n, child in enumerate(self.children)},
             relays=relays,
+            statuses=self.statuses,
         )
 
     async def _begin(self) -> None:
         await self.log.start()
-        await self.relays.start(RELAYS, self.seed)
-        sites = range(self.fleet.sites)
-        doors = await self.log.doors([self._path(site) for site in sites])
-        ports = [await self.relays.stream(self._path(site), doors[self._path(site)], site) for site in sites]
+        # Danger: the first epoch stands in every line; it must be set before anyone connects.
+        self.log.command(BeginAnew(self.teller.epoch))
+        doors = await self.log.doors(self.paths.doors())
         first = self.teller.first()
-        self.children = self._make_children(ports, first)
+        self._tell([first])
+        if isinstance(self.paths, LogPaths):
+            await self.paths.open(doors, self.seed)
+        else:
+            assert self.replicas is not None
+            await self.paths.open(doors, self.replicas.ports, self.seed)
+            await self.replicas.start(self.paths, self.scene.lifetime_us / S)
+        self.children = self._make_children(first)
         for child in self.children:
             await child.begin()
-        self._tell([first])
+            child.command(first.expected)
         numbers = [seat.number for seat in self.seats]
         for at in range(0, len(numbers), START_GROUP):
             self.start(numbers[at : at + START_GROUP])
             await asyncio.sleep(START_PAUSE_S)
         await asyncio.sleep(self.scene.warm_us / S)
 
-    def _make_children(self, ports: list[int], first: Told) -> list[HollowChild]:
+    def _make_children(self, first: Told) -> list[HollowChild]:
         """The dispatchers dealt over processes; the last one has a process to itself, so that it can be made
         to stand still."""
         known = {"seq": 1, "results": [first.event]}
@@ -146,7 +191,7 @@
         shares = [numbers[:-1][n::many] for n in range(many)] + [numbers[-1:]]
         children = []
         for share in shares:
-            seats = [self._hollow_seat(number, ports) for number in share]
+            seats = [self._hollow_seat(number) for number in share]
             broken = list(self.broken.numbers) or share
             plan = HollowPlan(seats, known, self.through, self.broken.hollow, broken, self.seed)
             child = HollowChild(plan, self._heard)
@@ -154,10 +199,10 @@
             self.child_of.update(dict.fromkeys(share, child))
         return children
 
-    def _hollow_seat(self, number: int, ports: list[int]) -> HollowSeat:
+    def _hollow_seat(self, number: int) -> HollowSeat:
         seat = self.seats[number]
         settings = self.fleet.settings(seat, self.scene.lifetime_us / S)
-        return HollowSeat(number, seat.name, settings, ports[seat.site])
+        return HollowSeat(number, seat.name, f"r{seat.region}", settings, self.paths.ports(seat))
 
     async def _play(self) -> dict[str, Any]:
         self.began_us = monotonic_us()
@@ -179,7 +224,8 @@
                 task.cancel()
             await asyncio.gather(*beside, playing, return_exceptions=True)
         await self._sample()
-        return await self.relays.stats()
+        await self._ask_replicas()
+        return await self.paths.stats()
 
     async def _telling(self, planned: list[Planned]) -> None:
         """Tells each event at its time, until the scene's end."""
@@ -204,8 +250,11 @@
         self.log.events([row.event for row in rows])
 
     async def _end(self) -> None:
-        await asyncio.gather(*(child.stop() for child in self.children), self.log.stop())
-        await self.relays.stop()
+        await asyncio.gather(*(child.stop() for child in self.children))
+        if self.replicas is not None:
+            await self.replicas.stop()
+        await self.log.stop()
+        await self.paths.stop()
 
     # What the children say.
 
@@ -219,8 +268,10 @@
                 self.false.append(report)
 
     async def _sampling(self) -> None:
-        while True:
+        for turn in count():
             await self._sample()
+            if turn % STATUS_EVERY == 0:
+                await self._ask_replicas()
             self.progress(self._line())
             await asyncio.sleep(SAMPLE_S)
 
@@ -245,6 +296,30 @@
         now_us = monotonic_us()
         self.usage.log.append(LogSample(now_us, log.cpu_s, log.rss_kb, log.late_us, log.doors))
         self.usage.own_late_us.append((now_us, self.lateness.taken()))
+        front, back = (await self.paths.stats())["bytes"], await self.paths.back_bytes()
+        self.usage.paths.append(PathSample(monotonic_us(), int(front), back))
+        if self.replicas is not None:
+            self.usage.replicas += self.replicas.samples(monotonic_us())
+
+    async def _ask_replicas(self) -> None:
+        """What each replica says of the newest event that it knows."""
+        if self.replicas is None:
+            return
+        for one in self.replicas.each:
+            status = await one.status() if one.running else None
+            if status is not None:
+                row = status.events
+                version = row.version
+                self.statuses.append(
+                    ReplicaStatus(
+                        at_us=monotonic_us(),
+                        replica=status.replica,
+                        epoch=version.epoch,
+                        number=version.number,
+                        in_force=row.in_force,
+                        total=row.total,
+                    )
+                )
 
     def _line(self) -> str:
         running = sum({row.process: row.running for row in self.usage.hollow}.values())
@@ -266,13 +341,19 @@
             self.deliveries.reachable(number, monotonic_us(), True)
             self.child_of[number].command(Start([number], self.teller.epoch))
 
-    def cut(self, sites: list[int], silent: bool) -> None:
-        for back in (False, True):
-            self.relays.set_conditions([self._path(site) for site in sites], back, silent=silent)
-        self._mark([seat.number for seat in self.seats if seat.site in sites], silent)
+    def cut(self, cut: Cut, silent: bool) -> None:
+        self.paths.set_silent(cut, silent)
+        self._mark([seat.number for seat in self.seats if cut.holds(seat)], silent)
 
-    def refuse(self, sites: list[int], refused: bool) -> None:
-        self.relays.tell([self._path(site) for site in sites], "shut" if refused else "open")
+    def refuse(self, cut: Cut, refused: bool) -> None:
+        self.paths.set_refused(cut, refused)
+
+    async def lose_replica(self, number: int, lost: bool) -> int:
+        if self.replicas is None:
+            return 0
+        one = self.replicas.each[number]
+        await (one.kill() if lost else one.start())
+        return 1
 
     def stall(self, stalled: bool) -> int:
         number = self.seats[-1].number
@@ -283,8 +364,9 @@
         return number
 
     def renew(self) -> None:
-        self.log.command(BeginAnew())
-        self._tell([self.teller.begin_anew()])
+        first = self.teller.begin_anew()
+        self.log.command(BeginAnew(self.teller.epoch))
+        self._tell([first])
 
     def hold(self, held: bool) -> None:
         self.held = held
@@ -295,6 +377,3 @@
                 self.deliveries.unreachable(number, monotonic_us())
             else:
                 self.deliveries.reachable(number, monotonic_us(), False)
-
-    def _path(self, site: int) -> str:
-        return f"s{site:02d}>log"
--- a/hoistplank/lab/scale/run_delays.py
+++ b/hoistplank/lab/scale/run_delays.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 from array import array
+from bisect import bisect_right
 from collections import Counter
 from dataclasses import dataclass, field
 
@@ -141,6 +142,14 @@
         if stays and stays[-1].end_us == NEVER:
             stays[-1].end_us = at_us
 
+    def having(self, epoch: int, number: int, at_us: int) -> int:
+        """How many dispatchers had acknowledged an event by a moment."""
+        wanted, found = key(epoch, number), 0
+        for record in self.records:
+            until = bisect_right(record.at_us, at_us)
+            found += any(held >= wanted for held in reversed(record.keys[:until]))
+        return found
+
     def delays(self) -> Delays:
         many = len(self.keys)
         keys, told = np.array(self.keys, dtype=np.int64), np.array(self.told_us, dtype=np.int64)
--- a/hoistplank/lab/scale/run_log.py
+++ b/hoistplank/lab/scale/run_log.py
@@ -115,8 +115,8 @@
             case Tell(events):
                 for event in events:
                     self.changelog.tell(event)
-            case BeginAnew():
-                self.changelog = self.make()
+            case BeginAnew(epoch):
+                self.changelog = self.make(epoch)
                 for door in self.doors.values():
                     door.break_off()
             case AskLogUsage():
--- /dev/null
+++ b/hoistplank/lab/scale/run_paths.py
@@ -0,0 +1,173 @@
+"""Through which relays dispatchers reach what they follow, and what a cut closes.
+
+Paths are relays of the fleet's laboratory, of a site each, not of a dispatcher. `front` carries what
+dispatchers send and receive; `back`, where there are replicas, what these and the change log do among each
+other. They are kept apart so that each is counted by itself.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+from typing import Any, Protocol
+
+from hoistplank.lab.fleet.relays import Relays
+from hoistplank.lab.scale.fleet import Fleet, Seat
+
+FRONT_RELAYS, BACK_RELAYS = 2, 1
+
+
+@dataclass(frozen=True, slots=True)
+class Cut:
+    """What is cut off: sites from all else, or whole regions from the others."""
+
+    sites: tuple[int, ...] = ()
+    regions: tuple[int, ...] = ()
+
+    def holds(self, seat: Seat) -> bool:
+        """Whether a dispatcher hears nothing new while this is cut."""
+        return seat.site in self.sites or seat.region in self.regions
+
+
+class Paths(Protocol):
+    """The paths of a run, once they are open."""
+
+    def ports(self, seat: Seat) -> list[int]:
+        """Where a dispatcher finds what it follows: the log, or each replica in its order."""
+
+    def set_silent(self, cut: Cut, silent: bool) -> None:
+        """Nothing comes through any more, and nobody is told; or all does again."""
+
+    def set_refused(self, cut: Cut, refused: bool) -> None:
+        """Connections break and are refused; or are taken again."""
+
+    async def stats(self) -> dict[str, Any]:
+        """What the relays of `front` carried. Raises RelayLost."""
+
+    async def back_bytes(self) -> int:
+        """What those of `back` carried."""
+
+    async def stop(self) -> None: ...
+
+
+def _set_silent(relays: Relays, names: Iterable[str], silent: bool) -> None:
+    chosen = list(names)
+    for back in (False, True):
+        relays.set_conditions(chosen, back, silent=silent)
+
+
+class LogPaths:
+    """Each site's path to the change log."""
+
+    def __init__(self, fleet: Fleet) -> None:
+        self.fleet, self.front = fleet, Relays()
+        self.site_ports: list[int] = []
+
+    @staticmethod
+    def name(site: int) -> str:
+        return f"s{site:02d}>log"
+
+    def doors(self) -> list[str]:
+        """The names of the log's doors, one a site."""
+        return [self.name(site) for site in range(self.fleet.sites)]
+
+    async def open(self, doors: dict[str, int], seed: int) -> None:
+        """Raises RelayLost."""
+        await self.front.start(FRONT_RELAYS, seed)
+        for site, name in enumerate(self.doors()):
+            self.site_ports.append(await self.front.stream(name, doors[name], site))
+
+    def ports(self, seat: Seat) -> list[int]:
+        return [self.site_ports[seat.site]]
+
+    def _names(self, cut: Cut) -> list[str]:
+        return sorted({self.name(seat.site) for seat in self.fleet.seats() if cut.holds(seat)})
+
+    def set_silent(self, cut: Cut, silent: bool) -> None:
+        _set_silent(self.front, self._names(cut), silent)
+
+    def set_refused(self, cut: Cut, refused: bool) -> None:
+        self.front.tell(self._names(cut), "shut" if refused else "open")
+
+    async def stats(self) -> dict[str, Any]:
+        return await self.front.stats()
+
+    async def back_bytes(self) -> int:
+        return 0
+
+    async def stop(self) -> None:
+        await self.front.stop()
+
+
+class ReplicaPaths:
+    """Each site's path to each replica, and those of the replicas to the log and to each other. One replica
+    stands in each region."""
+
+    def __init__(self, fleet: Fleet) -> None:
+        self.fleet, self.front, self.back = fleet, Relays(), Relays()
+        self.site_ports: list[list[int]] = []
+        self.log_ports: list[int] = []
+        self.peer_ports: dict[tuple[int, int], int] = {}
+
+    @staticmethod
+    def log_name(replica: int) -> str:
+        return f"c{replica}>log"
+
+    def doors(self) -> list[str]:
+        """The names of the log's doors, one a replica."""
+        return [self.log_name(replica) for replica in range(self.fleet.regions)]
+
+    async def open(self, doors: dict[str, int], replicas: list[int], seed: int) -> None:
+        """`replicas`: the port of each. Raises RelayLost."""
+        await self.front.start(FRONT_RELAYS, seed)
+        await self.back.start(BACK_RELAYS, seed + 1)
+        for number, name in enumerate(self.doors()):
+            self.log_ports.append(await self.back.stream(name, doors[name], number))
+        for near in range(self.fleet.regions):
+            for far, port in enumerate(replicas):
+                if near != far:
+                    self.peer_ports[near, far] = await self.back.stream(f"c{near}>c{far}", port, near)
+        for site in range(self.fleet.sites):
+            names = [f"s{site:02d}>c{replica}" for replica in range(self.fleet.regions)]
+            pairs = zip(names, replicas, strict=True)
+            self.site_ports.append([await self.front.stream(name, port, site) for name, port in pairs])
+
+    def ports(self, seat: Seat) -> list[int]:
+        return self.site_ports[seat.site]
+
+    def _front_names(self, cut: Cut) -> list[str]:
+        """Paths of dispatchers that lead out of what is cut off, or into it."""
+        region_of = {seat.site: seat.region for seat in self.fleet.seats()}
+        names = []
+        for site, region in region_of.items():
+            for replica in range(self.fleet.regions):
+                divided = (region in cut.regions) != (replica in cut.regions)
+                if site in cut.sites or divided:
+                    names.append(f"s{site:02d}>c{replica}")
+        return names
+
+    def _back_names(self, cut: Cut) -> list[str]:
+        names = [self.log_name(replica) for replica in cut.regions]
+        for near, far in self.peer_ports:
+            if (near in cut.regions) != (far in cut.regions):
+                names.append(f"c{near}>c{far}")
+        return names
+
+    def set_silent(self, cut: Cut, silent: bool) -> None:
+        _set_silent(self.front, self._front_names(cut), silent)
+        _set_silent(self.back, self._back_names(cut), silent)
+
+    def set_refused(self, cut: Cut, refused: bool) -> None:
+        do = "shut" if refused else "open"
+        self.front.tell(self._front_names(cut), do)
+        self.back.tell(self._back_names(cut), do)
+
+    async def stats(self) -> dict[str, Any]:
+        return await self.front.stats()
+
+    async def back_bytes(self) -> int:
+        return int((await self.back.stats())["bytes"])
+
+    async def stop(self) -> None:
+        await self.front.stop()
+        await self.back.stop()
--- a/hoistplank/lab/scale/run_usage.py
+++ b/hoistplank/lab/scale/run_usage.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
+from typing import TypeVar
 
 import msgspec
 
@@ -40,6 +41,26 @@
     doors: dict[str, DoorUsage]
 
 
+@dataclass(frozen=True, slots=True)
+class ReplicaSample:
+    """A replica at a moment: processor time since its start, memory; `life` rises with each start."""
+
+    at_us: int
+    number: int
+    life: int
+    cpu_s: float
+    rss_kb: int
+
+
+@dataclass(frozen=True, slots=True)
+class PathSample:
+    """What relays carried by a moment: between dispatchers and what they follow, and behind that."""
+
+    at_us: int
+    front_bytes: int
+    back_bytes: int
+
+
 class Use(msgspec.Struct, frozen=True):
     """Within a time. A hollow dispatcher: share of a core and bytes a second, mean and the most over any
     second of any process (or door). The log: share of a core, mean and most, and bytes a second out."""
@@ -52,6 +73,10 @@
     log_core: float
     log_core_most: float
     log_bytes_s: float
+    replica_core: float = 0.0  # of the replica that used most, mean over the time
+    replica_core_most: float = 0.0  # of any replica in any second
+    replica_memory_mb: float = 0.0  # of the largest
+    back_bytes_s: float = 0.0  # of the replicas with the log and each other, all together
 
 
 def late_ms(samples: Iterable[list[int]]) -> float:
@@ -76,6 +101,8 @@
     def __init__(self) -> None:
         self.hollow: list[HollowSample] = []
         self.log: list[LogSample] = []
+        self.replicas: list[ReplicaSample] = []
+        self.paths: list[PathSample] = []
         self.own_late_us: list[tuple[int, list[int]]] = []  # of the run's own process
 
     def use(self, begin_us: int, end_us: int) -> Use:
@@ -87,17 +114,52 @@
         lines = _slope(log, lambda row: sum(door.lines_out for door in row.doors.values()))
         out = _slope(log, lambda row: sum(door.bytes_out for door in row.doors.values()))
         open_now = sum(door.open for door in log[-1].doors.values()) if log else 0
+        paths = [row for row in self.paths if begin_us <= row.at_us < end_us]
+        if self.replicas:
+            # Dispatchers don't follow the log: what they get and answer is what their paths carry.
+            running = {row.process: row.running for row in self.hollow if begin_us <= row.at_us < end_us}
+            many = max(1, sum(running.values()))
+            bytes_s = _slope(paths, lambda row: row.front_bytes) / many
+            stretches = [[one, two] for one, two in zip(paths, paths[1:], strict=False)]
+            doors = [_slope(stretch, lambda row: row.front_bytes) / many for stretch in stretches]
+            lines = 0.0
+        else:
+            bytes_s = out / max(1, open_now)
+            lines = lines / max(1, open_now)
+        replica = self._replica_rates(begin_us, end_us)
         return Use(
             dispatcher_core=_mean([core for core, _ in rates], [weight for _, weight in rates]),
             dispatcher_core_most=max((core for core, _ in rates), default=0.0),
-            dispatcher_bytes_s=out / max(1, open_now),
+            dispatcher_bytes_s=bytes_s,
             dispatcher_bytes_s_most=max(doors, default=0.0),
-            dispatcher_lines_s=lines / max(1, open_now),
+            dispatcher_lines_s=lines,
             log_core=_slope(log, lambda row: row.cpu_s),
             log_core_most=max(cores, default=0.0),
             log_bytes_s=out,
+            replica_core=max((mean for mean, _ in replica), default=0.0),
+            replica_core_most=max((most for _, most in replica), default=0.0),
+            replica_memory_mb=self._replica_memory_mb(begin_us, end_us),
+            back_bytes_s=_slope(paths, lambda row: row.back_bytes),
         )
 
+    def _replica_rates(self, begin_us: int, end_us: int) -> list[tuple[float, float]]:
+        """Of each replica's life: share of a core over the time, and the most between two samples."""
+        lives: dict[tuple[int, int], list[ReplicaSample]] = {}
+        for row in self.replicas:
+            if begin_us <= row.at_us < end_us:
+                lives.setdefault((row.number, row.life), []).append(row)
+        found = []
+        for rows in lives.values():
+            pairs = zip(rows, rows[1:], strict=False)
+            cores = [core for core in (_rate(one, two) for one, two in pairs) if core is not None]
+            if cores:
+                found.append((_slope(rows, lambda row: row.cpu_s), max(cores)))
+        return found
+
+    def _replica_memory_mb(self, begin_us: int, end_us: int) -> float:
+        held = [row.rss_kb / 1_024 for row in self.replicas if begin_us <= row.at_us < end_us]
+        return max(held, default=0.0)
+
     def memory_bytes(self, empty_kb: dict[int, int], begin_us: int, end_us: int) -> float:
         """The most a hollow dispatcher held: growth of its process since it was empty, shared out."""
         rows = [row for row in self.hollow if begin_us <= row.at_us < end_us and row.running]
@@ -139,12 +201,19 @@
         return rates
 
 
-def _rate(one: HollowSample | LogSample, two: HollowSample | LogSample) -> float | None:
+CpuSample = HollowSample | LogSample | ReplicaSample
+
+
+def _rate(one: CpuSample, two: CpuSample) -> float | None:
     took_s = (two.at_us - one.at_us) / 1e6
     return (two.cpu_s - one.cpu_s) / took_s if took_s >= LEAST_S else None
 
 
-def _slope(rows: list[LogSample], value: Callable[[LogSample], float]) -> float:
+Sample = TypeVar("Sample", LogSample, ReplicaSample, PathSample)
+
+
+def _slope(rows: list[Sample], value: Callable[[Sample], float]) -> float:
+    """The growth of a counter a second, from the first sample to the last."""
     if len(rows) < 2:
         return 0.0
     took_s = (rows[-1].at_us - rows[0].at_us) / 1e6
--- a/hoistplank/lab/scale/run_verdict.py
+++ b/hoistplank/lab/scale/run_verdict.py
@@ -9,11 +9,12 @@
 
 from hoistplank.lab.scale.hollow_pairing import Pairing
 from hoistplank.lab.scale.replay import CHANGE, HOST, PURGE, RENEWAL
-from hoistplank.lab.scale.run import Played
+from hoistplank.lab.scale.run import Played, ReplicaStatus
 from hoistplank.lab.scale.run_delays import Delays, Quantiles
 from hoistplank.lab.scale.run_usage import Use
 
 LATE_MS = 250.0  # of a process of the rig (99th percentile): a delay that fails beyond it proves nothing
+CONTROL_CORE = 0.5  # of a core, for each of the machines set aside for control
 SPOILT_MS = 2_000.0  # beyond which no run counts, whatever it says
 RATIO_LEAST, RATIO_MOST = 0.7, 1.4  # of a hollow dispatcher's cost an event to a real one's
 OF_TIME = ("purges_in_force", "changes_in_force", "renewal_in_force", "returns_in_time")
@@ -88,6 +89,12 @@
         "memory_of_a_dispatcher": steady.memory_bytes <= budgets.memory,
         "bytes_of_a_dispatcher": steady.bytes_s <= budgets.bytes_s,
     }
+    if played.statuses:
+        overstated = [row for row in played.statuses if _overstated(played, row)]
+        last = {row.replica: row for row in played.statuses}.values()
+        claims["replicas_count_only_what_is_in_force"] = not overstated
+        claims["replicas_know_the_whole_fleet"] = all(_is_complete(played, row) for row in last)
+        claims["core_of_a_control_machine"] = windows[0].use.replica_core <= CONTROL_CORE
     late = _late(played, played.began_us, played.ended_us)
     verdict = Verdict(
         claims=claims,
@@ -114,6 +121,15 @@
     return ""
 
 
+def _overstated(played: Played, row: ReplicaStatus) -> bool:
+    """Whether a replica counted dispatchers that had not said so themselves by then."""
+    return row.in_force > played.deliveries.having(row.epoch, row.number, row.at_us)
+
+
+def _is_complete(played: Played, row: ReplicaStatus) -> bool:
+    return row.in_force == row.total == played.scene.fleet.dispatchers
+
+
 def _within(found: Quantiles, budget_us: int) -> bool:
     return found.never == 0 and found.max * 1e3 <= budget_us
 
--- a/hoistplank/lab/scale/scene.py
+++ b/hoistplank/lab/scale/scene.py
@@ -23,6 +23,7 @@
     "apart": (COUNT, "for", SPAN, "pace", TIMES),  # so many regions, while events come at this pace
     "restart": ("within", SPAN),  # every dispatcher once, each at its own moment
     "renew-log": (),  # the source begins anew and counts from 1
+    "replica": ("for", SPAN),  # one control replica is killed and started again; without replicas, nothing
     "stall": ("for", SPAN),  # one dispatcher stands still and reads nothing
 }
 
--- a/tests/test_scale_run.py
+++ b/tests/test_scale_run.py
@@ -27,7 +27,7 @@
 from hoistplank.lab.scale.replay import CHANGE, HOST, PURGE, RENEWAL, Teller
 from hoistplank.lab.scale.run_delays import NEVER, Deliveries, quantiles
 from hoistplank.lab.scale.run_usage import HollowSample, LogSample, UsageSeries, late_ms
-from hoistplank.lab.scale.scene import S, Scene, read
+from hoistplank.lab.scale.scene import KINDS, S, Scene, read
 from hoistplank.lab.scale.scene_schedule import BATCH_US, Change, HostStep, Purge, schedule
 from hoistplank.operator.faults import Faults
 from hoistplank.protocol import changelog
@@ -48,7 +48,7 @@
 def test_scenes_that_are_kept_can_be_read(path: Path) -> None:
     made = read(path.read_bytes(), path.name)
     kinds = {fault.kind for fault in made.faults}
-    assert kinds == {"changes", "machines", "rack", "zone", "restart", "renew-log", "stall", "apart"}
+    assert kinds == set(KINDS)
 
 
 def test_whole_scene_is_the_fleet_that_is_planned_for() -> None:
@@ -162,6 +162,9 @@
 # What a Router holds, against what was told.
 
 
+NOTHING = Position(0, 0)
+
+
 def audited(*events: Expect) -> tuple[Auditor, Router]:
     made = scene("(hosts 3)")
     auditor = Auditor()
@@ -179,17 +182,17 @@
         Expect(0, 5, hosts=[HostState("h", "gone", 7, 1.0)]),
     )
     told = Position(0, 1)
-    assert [number for number, _ in auditor.missing(router, told, Position(0, 3))] == [2, 3]
+    assert [number for number, _ in auditor.missing(router, NOTHING, told, Position(0, 3))] == [2, 3]
     router.purged(now, "ab", 0, 5)
-    assert [number for number, _ in auditor.missing(router, told, Position(0, 3))] == [3]
+    assert [number for number, _ in auditor.missing(router, NOTHING, told, Position(0, 3))] == [3]
     # An older purge of the same object is not enough.
     router.purged(now, "cd", 0, 6)
-    assert [number for number, _ in auditor.missing(router, told, Position(0, 3))] == [3]
+    assert [number for number, _ in auditor.missing(router, NOTHING, told, Position(0, 3))] == [3]
     # Of two events on one host the later one counts.
     router.hosts_listed(now, "whole", [HostEntry("h", "z0", "box", 0, 1.0, 7, "up")])
-    assert [number for number, _ in auditor.missing(router, Position(0, 3), Position(0, 5))] == [5]
+    assert [number for number, _ in auditor.missing(router, NOTHING, Position(0, 3), Position(0, 5))] == [5]
     router.hosts_listed(now, "changes", [HostEntry("h", "z0", "box", 0, 1.0, 7, "gone")])
-    assert auditor.missing(router, Position(0, 3), Position(0, 5)) == []
+    assert auditor.missing(router, NOTHING, Position(0, 3), Position(0, 5)) == []
     assert auditor.knows(Position(0, 5)) and not auditor.knows(Position(0, 6))
     assert not auditor.knows(Position(1, 1))
 
@@ -197,10 +200,10 @@
 def test_audit_takes_a_floor_under_all_objects_for_a_purge() -> None:
     auditor, router = audited(Expect(0, 2, "ab", 50 * S), Expect(0, 3, "cd", 60 * S))
     router.floors[ALL_OBJECTS] = (55 * S, 90 * S)
-    assert [number for number, _ in auditor.missing(router, Position(0, 1), Position(0, 3))] == [3]
+    assert [number for number, _ in auditor.missing(router, NOTHING, Position(0, 1), Position(0, 3))] == [3]
     # One that is heard long after it was made is in force all the same.
     router.purged(60 * S + 2 * router.floors_us, "cd", 0, 2 * router.floors_us)
-    assert auditor.missing(router, Position(0, 2), Position(0, 3)) == []
+    assert auditor.missing(router, NOTHING, Position(0, 2), Position(0, 3)) == []
 
 
 # Delays.
@@ -265,6 +268,15 @@
     assert [(row.name, row.took_us) for row in made.delays().returns] == [("d0", 33)]
 
 
+def test_who_had_an_event_by_a_moment_is_counted() -> None:
+    made = deliveries(2)
+    made.acknowledged(0, 0, 2, 100)
+    made.acknowledged(0, 0, 1, 110)  # another life of it
+    made.acknowledged(1, 1, 1, 120)
+    assert [made.having(0, 2, at) for at in (99, 100, 115, 120)] == [0, 1, 1, 2]
+    assert (made.having(1, 1, 119), made.having(1, 1, 120)) == (0, 1)
+
+
 def test_an_epoch_goes_before_numbers() -> None:
     made = deliveries(1)
     made.told(0, 9, PURGE, 100)
