--- a/hoistplank/lab/scale/run.py
+++ b/hoistplank/lab/scale/run.py
@@ -31,7 +31,7 @@
 from hoistplank.lab.scale.run_children import ChildLost, HollowChild, LogChild
 from hoistplank.lab.scale.run_delays import Deliveries
 from hoistplank.lab.scale.run_lateness import Lateness
-from hoistplank.lab.scale.run_paths import Cut, LogPaths, ReplicaPaths
+from hoistplank.lab.scale.run_paths import LOG, REPLICAS, Cut, LogPaths, ReplicaPaths
 from hoistplank.lab.scale.run_replicas import ReplicaLost, Replicas
 from hoistplank.lab.scale.run_usage import LEAST_SHARED, HollowSample, LogSample, PathSample, UsageSeries
 from hoistplank.lab.scale.scene import S, Scene
@@ -42,7 +42,6 @@
 START_GROUP, START_PAUSE_S = 40, 0.1  # dispatchers that are started at a time, at the beginning
 END_S = 3.0  # after the scene's end, for what was told last
 STATUS_EVERY = 5  # samples between questions to the replicas
-LOG, REPLICAS = "log", "replicas"  # what dispatchers follow
 # What a configuration change hands on where replicas do: of the size of an operator's file.
 CONFIGURATION = """
 (log (format lines))
--- a/hoistplank/lab/scale/run_paths.py
+++ b/hoistplank/lab/scale/run_paths.py
@@ -15,6 +15,7 @@
 from hoistplank.lab.scale.fleet import Fleet, Seat
 
 FRONT_RELAYS, BACK_RELAYS = 2, 1
+LOG, REPLICAS = "log", "replicas"  # what dispatchers follow
 
 
 @dataclass(frozen=True, slots=True)
--- a/hoistplank/lab/scale/run_replicas.py
+++ b/hoistplank/lab/scale/run_replicas.py
@@ -14,13 +14,13 @@
 from hoistplank.distribution.status_client import ask
 from hoistplank.lab.drives.orphans import with_parent
 from hoistplank.lab.scale.fleet import Fleet
-from hoistplank.lab.scale.hollow_pairing import processor_s
 from hoistplank.lab.scale.run_paths import ReplicaPaths
 from hoistplank.lab.scale.run_usage import ReplicaSample
 from hoistplank.protocol.errors import BadBytes
 from hoistplank.standins.deployment import free_port
 
 READY_S, END_S = 30.0, 8.0
+CPU_CLOCK = 2  # of the clock ids that Linux builds from a process's id (clock_getcpuclockid(3))
 PAGE_KB = os.sysconf("SC_PAGE_SIZE") // 1_024
 
 
@@ -28,6 +28,11 @@
     """A replica did not come up."""
 
 
+def processor_s(pid: int) -> float:
+    """Processor time of another process of ours, by its own clock."""
+    return time.clock_gettime((~pid << 3) | CPU_CLOCK)
+
+
 def replica_name(number: int) -> str:
     return f"c{number}"
 
