Distribution on real processes: killed, frozen, terminated, and what the commands say

Two replicas and two or three dispatchers as processes: a replica killed while a change is on its way and started again, a dispatcher stopped by SIGSTOP for longer than the silence with a purge and a change meanwhile (its first answer says that nobody was heard; health asked between turns says it, too), a change of 950 KB that arrives with a SIGTERM, the commands' words and exit codes.

--- a/hoistplank/distribution/follower.py
+++ b/hoistplank/distribution/follower.py
@@ -101,8 +101,8 @@
         return self.order[self.place]
 
     def detail(self) -> str:
-        """For the health answer: empty while all is heard."""
-        if not self.hosts.is_stale:
+        """For the health answer: empty while all is heard. It is asked between turns, too."""
+        if not (self.hosts.is_stale or self.state.unheard(self.owner.clock.now())):
             return ""
         return f"no control replica heard; in force: {self.state.resume_at}"
 
--- /dev/null
+++ b/tests/test_distribution_processes.py
@@ -0,0 +1,335 @@
+"""Distribution on real processes: replicas and dispatchers as they are started, stopped, frozen and killed."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import socket
+import sys
+from collections.abc import AsyncIterator, Callable, Coroutine
+from contextlib import asynccontextmanager
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import uvloop
+
+from hoistplank.distribution.status import StatusAnswer
+from hoistplank.distribution.versions import Version
+from hoistplank.standins.changelog import ChangeLog
+from hoistplank.standins.settings import listing, target
+from hoistplank.standins.wire import CacheHost, Client, serve
+from tests.distribution_rig import EPOCH, asked
+from tests.helpers import configuration
+
+LEVELS = "(levels (retries {}))"
+PATIENCE_S = 30.0
+
+
+def run(scene: Coroutine[Any, Any, None]) -> None:
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        runner.run(asyncio.wait_for(scene, 60))
+
+
+def at(number: int) -> Version:
+    return Version(EPOCH, number)
+
+
+def free_ports(count: int) -> list[int]:
+    sockets = [socket.socket() for _ in range(count)]
+    for one in sockets:
+        one.bind(("127.0.0.1", 0))
+    ports = [int(one.getsockname()[1]) for one in sockets]
+    for one in sockets:
+        one.close()
+    return ports
+
+
+def served(id: str, fields: dict[str, str], body: bytes) -> bytes:
+    return f"{id} served detail=hit,digest=aa,dated=1 4\r\nwell\r\n".encode()
+
+
+class Process:
+    """One process of the program, with the lines that it logs."""
+
+    def __init__(self, words: tuple[str, ...], environment: dict[str, str]) -> None:
+        self.words, self.environment = words, environment
+        self.lines: list[dict[str, Any]] = []
+        self.process: asyncio.subprocess.Process | None = None
+        self._reading: asyncio.Task[None] | None = None
+        self._told = asyncio.Condition()
+
+    async def start(self) -> Process:
+        self.process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            *self.words,
+            env={"HOISTPLANK_LOG": "json", "PATH": os.environ.get("PATH", ""), **self.environment},
+            stdout=asyncio.subprocess.PIPE,
+        )
+        self._reading = asyncio.create_task(self._read())
+        return self
+
+    async def _read(self) -> None:
+        assert self.process is not None and self.process.stdout is not None
+        while line := await self.process.stdout.readline():
+            async with self._told:
+                self.lines.append(json.loads(line))
+                self._told.notify_all()
+
+    async def logged(self, fits: Callable[[dict[str, Any]], bool]) -> dict[str, Any]:
+        """The first line that fits, now or later."""
+        async with asyncio.timeout(PATIENCE_S), self._told:
+            await self._told.wait_for(lambda: any(fits(line) for line in self.lines))
+        return next(line for line in self.lines if fits(line))
+
+    def send(self, number: signal.Signals) -> None:
+        assert self.process is not None
+        self.process.send_signal(number)
+
+    async def ended(self) -> int:
+        assert self.process is not None and self._reading is not None
+        async with asyncio.timeout(PATIENCE_S):
+            code = await self.process.wait()
+            await self._reading
+        return code
+
+    async def close(self) -> None:
+        assert self.process is not None and self._reading is not None
+        if self.process.returncode is None:
+            self.process.kill()
+        await self.process.wait()
+        await self._reading
+
+
+class Fleet:
+    """Two replicas and some dispatchers as processes, around a change log and cache hosts in this one."""
+
+    def __init__(self, folder: Path) -> None:
+        self.folder = folder
+        self.log = ChangeLog(EPOCH)
+        self.replica_ports = free_ports(2)
+        self.listen: dict[str, int] = {}
+        self.processes: list[Process] = []
+        self.targets: list[dict[str, Any]] = []
+        self.log_port = 0
+
+    async def prepare(self) -> None:
+        self.log_port = await serve(self.log.talk)
+        for uid, model in (("a", "box"), ("o", "origin")):
+            self.targets.append(target(uid, model, await serve(CacheHost(served).talk)))
+        self.log.tell(listing(1, self.targets, whole=True))
+
+    async def replica(self, index: int) -> Process:
+        folder = self.folder / "replica"
+        folder.mkdir(exist_ok=True)
+        configuration(folder, changelog=f"127.0.0.1:{self.log_port}")
+        other = 1 - index
+        words = (
+            "hoistplank.cli.main",
+            "control",
+            "replica",
+            *("--config", str(folder / "config.json")),
+            *("--listen", f"127.0.0.1:{self.replica_ports[index]}"),
+            *("--name", f"c{index + 1}", "--region", "east"),
+            *("--peer", f"c{other + 1}=127.0.0.1:{self.replica_ports[other]}"),
+        )
+        return await self._started(Process(words, {}))
+
+    async def dispatcher(self, name: str, more: str = "") -> Process:
+        folder = self.folder / name
+        folder.mkdir(exist_ok=True)
+        self.listen[name] = self.listen.get(name) or free_ports(1)[0]
+        known = {"seq": 1, "results": [listing(1, self.targets, whole=True)]}
+        configuration(folder, name=name, listen=f"127.0.0.1:{self.listen[name]}", known=known)
+        rows = "".join(
+            f' (replica c{index + 1} (endpoint "127.0.0.1:{port}") (region east))'
+            for index, port in enumerate(self.replica_ports)
+        )
+        (folder / "op.sexp").write_text(f"{LEVELS.format(0.5)}\n(distribution (region east){more}{rows})\n")
+        environment = {
+            "EDGE_CONFIG": str(folder / "config.json"),
+            "HOISTPLANK_OPERATOR": str(folder / "op.sexp"),
+        }
+        process = await self._started(Process(("hoistplank",), environment))
+        await process.logged(lambda line: line.get("phase") == "serving")
+        return process
+
+    async def _started(self, process: Process) -> Process:
+        self.processes.append(process)
+        return await process.start()
+
+    async def in_force(self, index: int, version: Version, count: int) -> StatusAnswer:
+        """The replica's status once the change is in force at so many."""
+        async with asyncio.timeout(PATIENCE_S):
+            while True:
+                try:
+                    status = await asked(("127.0.0.1", self.replica_ports[index]), version)
+                except (OSError, msgspec.DecodeError):
+                    await asyncio.sleep(0.05)
+                    continue
+                if status.change is not None and status.change.in_force == count:
+                    return status
+                await asyncio.sleep(0.05)
+
+    async def health(self, name: str) -> tuple[int, str]:
+        client = Client(*await asyncio.open_connection("127.0.0.1", self.listen[name]))
+        client.send(1, "", script="/-/healthy")
+        _, status, _, body = await asyncio.wait_for(client.answer(), PATIENCE_S)
+        client.writer.close()
+        return status, body.decode()
+
+    async def serves(self, name: str) -> None:
+        """Returns once a request is answered 200: a core that lags for a moment sheds some."""
+        async with asyncio.timeout(PATIENCE_S):
+            while (await self._page(name)) != 200:
+                await asyncio.sleep(0.05)
+
+    async def _page(self, name: str) -> int:
+        client = Client(*await asyncio.open_connection("127.0.0.1", self.listen[name]))
+        client.send(1, "page")
+        _, status, head, _ = await asyncio.wait_for(client.answer(), PATIENCE_S)
+        client.writer.close()
+        assert status == 200 or (status == 503 and b"X-Pushback-Ms" in head), head
+        return status
+
+
+@asynccontextmanager
+async def fleet(folder: Path) -> AsyncIterator[Fleet]:
+    made = Fleet(folder)
+    await made.prepare()
+    try:
+        yield made
+    finally:
+        for process in made.processes:
+            await process.close()
+
+
+async def command(*words: str) -> tuple[int, str, str]:
+    """The exit code, the output and the errors of a command."""
+    process = await asyncio.create_subprocess_exec(
+        *(sys.executable, "-m", "hoistplank.cli.main", "control", *words),
+        stdout=asyncio.subprocess.PIPE,
+        stderr=asyncio.subprocess.PIPE,
+    )
+    out, wrong = await process.communicate()
+    return process.returncode or 0, out.decode(), wrong.decode()
+
+
+def test_processes_agree_and_the_status_command_says_so(tmp_path: Path) -> None:
+    """Also with a replica killed, and started again."""
+
+    async def scene() -> None:
+        async with fleet(tmp_path) as made:
+            first = await made.replica(0)
+            await made.replica(1)
+            for name in ("d0", "d1", "d2"):
+                await made.dispatcher(name)
+            made.log.tell({"seq": 2, "invalidate": {"object": "00" * 8, "time": 1.0}})
+            made.log.configure(3, LEVELS.format(0.25))
+            await made.in_force(0, at(3), 3)
+            await made.in_force(1, at(3), 3)
+            both = [word for port in made.replica_ports for word in ("--replica", f"127.0.0.1:{port}")]
+            code, out, _ = await command("status", *both)
+            assert (
+                code == 0
+                and f"configuration {at(3)}: in force at 3 of 3" in out
+                and "c2 (east): at 7/3" in out
+            )
+            # Killed while a change is on its way, and back: nothing is lost, and both know all.
+            made.log.configure(4, LEVELS.format("often"))
+            first.send(signal.SIGKILL)
+            made.log.tell({"seq": 5, "invalidate": {"object": "22" * 8, "time": 1.0}})
+            await made.in_force(1, at(5), 3)
+            code, out, _ = await command("status", *both, "--version", str(at(4)))
+            assert code == 1 and "in force at 0 of 3; missing: d" in out and "no answer" in out
+            assert f"refused: configuration {at(4)}:1:18: 'often', expected" in out
+            await made.replica(0)
+            status = await made.in_force(0, at(5), 3)
+            assert status.configurations.in_force == 0 and status.events.in_force == 3
+            for name in made.listen:
+                assert await made.health(name) == (200, "")
+                await made.serves(name)
+            code, out, _ = await command("status", *both, "--json")
+            answers = [json.loads(line) for line in out.splitlines()]
+            assert code == 1 and [answer["replica"] for answer in answers] == ["c1", "c2"]
+
+    run(scene())
+
+
+def test_commands_name_what_can_t_be_used(tmp_path: Path) -> None:
+    async def scene() -> None:
+        configuration(tmp_path)
+        config = ("--config", str(tmp_path / "config.json"), "--name", "c1")
+        for words, told in (
+            (("replica", *config, "--listen", "192.0.2.1:18100"), "only a loopback address is served"),
+            (("replica", *config, "--peer", "c2"), "--peer c2: is not NAME=HOST:PORT"),
+            (("replica", *config, "--peer", "c2=here"), "'here' is no address with a port"),
+            (("status", "--replica", "127.0.0.1:9", "--version", "7"), "--version 7: is not EPOCH/NUMBER"),
+        ):
+            code, _, wrong = await command(*words)
+            assert code == 2 and told in wrong, (words, wrong)
+        code, _, wrong = await command("status", "--replica", "127.0.0.1:9")
+        assert code == 1 and "127.0.0.1:9: no answer" in wrong
+
+    run(scene())
+
+
+def test_a_dispatcher_frozen_and_thawed_is_not_sure_of_what_it_holds(tmp_path: Path) -> None:
+    """Stopped for longer than the silence, with a purge and a change meanwhile: the first request after it
+    finds the list stale, and the state of the fleet names it."""
+
+    async def scene() -> None:
+        async with fleet(tmp_path) as made:
+            await made.replica(0)
+            await made.replica(1)
+            frozen = await made.dispatcher("d0", " (silence 3s)")
+            await made.dispatcher("d1")
+            made.log.configure(2, LEVELS.format(0.25))
+            await made.in_force(0, at(2), 2)
+            frozen.send(signal.SIGSTOP)
+            made.log.tell({"seq": 3, "invalidate": {"object": "00" * 8, "time": 1.0}})
+            made.log.configure(4, LEVELS.format(0.75))
+            status = await made.in_force(0, at(4), 1)
+            assert status.change is not None
+            assert [row.dispatcher for row in status.change.missing] == ["d0"]
+            # Asked while it stands still: the answer is the first that it says once it goes on.
+            asking = asyncio.create_task(made.health("d0"))
+            while (await made.in_force(0, at(4), 1)).change.missing[0].heard_ago_us < 8_000_000:  # type: ignore[union-attr]
+                await asyncio.sleep(0.1)
+            frozen.send(signal.SIGCONT)
+            status_code, detail = await asking
+            assert status_code == 200 and detail == f"no control replica heard; in force: {at(2)}"
+            await made.in_force(0, at(4), 2)
+            await frozen.logged(
+                lambda line: line.get("event") == "configuration taken up" and line["version"] == "7/4"
+            )
+
+    run(scene())
+
+
+def test_a_change_that_arrives_with_a_sigterm_is_in_force_whole_or_not_at_all(tmp_path: Path) -> None:
+    """Large enough to be still read when the signal comes; the dispatcher ends in order."""
+
+    async def scene() -> None:
+        async with fleet(tmp_path) as made:
+            await made.replica(0)
+            leaving = await made.dispatcher("d0")
+            await made.dispatcher("d1")
+            await made.in_force(0, at(1), 2)
+            padding = "\n".join("; " + "x" * 76 for _ in range(12_000))
+            made.log.configure(2, LEVELS.format(0.25) + "\n" + padding)
+            leaving.send(signal.SIGTERM)
+            assert await leaving.ended() == 0
+            taken = [line for line in leaving.lines if line.get("event") == "configuration taken up"]
+            assert not [line for line in leaving.lines if line.get("level") == "error"]
+            status = await made.in_force(0, at(2), 1 + len(taken))
+            assert status.change is not None and status.change.total == 2
+            # Its next start gets it whole.
+            again = await made.dispatcher("d0")
+            await again.logged(lambda line: line.get("event") == "configuration taken up")
+            await made.in_force(0, at(2), 2)
+
+    run(scene())
