--- a/hoistplank/distribution/messages.py
+++ b/hoistplank/distribution/messages.py
@@ -16,6 +16,7 @@
 import msgspec
 from msgspec import Meta
 
+from hoistplank.choice import ALL_OBJECTS
 from hoistplank.distribution.versions import Version
 from hoistplank.protocol import changelog
 from hoistplank.protocol.changelog import Fleet, Purge
@@ -26,8 +27,7 @@
 MOST_LINE = 6 * MOST_CONFIGURATION + 65_536
 MOST_REQUEST_LINE = 65_536  # of what a dispatcher, a peer or an operator sends
 MOST_REASON = 2_000  # characters of a refusal's reason
-# The bucket of a purge of all objects: none has it, as a request's bucket lies between 0 and 255.
-ALL_OBJECTS_BUCKET = -1
+ALL_OBJECTS_BUCKET = ALL_OBJECTS  # of a purge of all objects: a request's bucket lies between 0 and 255
 
 Name = Annotated[str, Meta(min_length=1, max_length=120, pattern=r"^[A-Za-z0-9_.:/-]+$")]
 Count = Annotated[int, Meta(ge=0, le=(1 << 63) - 1)]
--- a/tests/test_distribution_state.py
+++ b/tests/test_distribution_state.py
@@ -114,6 +114,20 @@
     assert state.configuration_version == Version(1, 1), "in force until the new epoch brings one"
 
 
+def test_a_replica_that_missed_an_epochs_end_leaves_no_host_of_it_behind() -> None:
+    missed, heard, mirror = ReplicatedState(HORIZON), ReplicatedState(HORIZON), Mirror()
+    for state in (missed, heard):
+        state.apply(0, ReplicatedEvent(1, 1, fleet=listed("a")))
+    heard.apply(0, ReplicatedEvent(2, 1, fleet=Fleet(targets=[target("b")])))
+    for state in (missed, heard):
+        state.apply(0, ReplicatedEvent(1, 2, invalidate=Purge(1.0, "o")))
+    mirror.follow(0, heard)
+    assert set(mirror.hosts) == {"a", "b"}
+    missed.apply(0, ReplicatedEvent(2, 2, fleet=listed("a")))
+    mirror.follow(0, missed)
+    assert set(mirror.hosts) == {"a"} and mirror.follower.told == Version(2, 2)
+
+
 def test_a_part_of_a_catch_up_is_not_in_force_before_its_end() -> None:
     """Host a changes at 2 and 4, a purge comes at 3: whoever has heard 3 alone has not heard 2."""
     state, mirror = ReplicatedState(HORIZON), Mirror()
--- a/tests/test_purge_floors.py
+++ b/tests/test_purge_floors.py
@@ -79,6 +79,14 @@
         assert 0 < oldest_asked(made, later + number, f"object-{number}") <= S, number
 
 
+def test_a_purge_of_all_objects_counts_for_each() -> None:
+    made = router()
+    made.purged(10 * S, "x", 0, S)
+    made.purged(11 * S, "", ALL_OBJECTS, 3 * S)
+    assert oldest_asked(made, 12 * S, "x") == 3 * S, "its own purge is newer"
+    assert oldest_asked(made, 13 * S, "y") == 5 * S
+
+
 @settings(max_examples=60, deadline=None)
 @given(
     st.lists(
