--- a/hoistplank/distribution/acknowledgements.py
+++ b/hoistplank/distribution/acknowledgements.py
@@ -1,6 +1,6 @@
 """Which dispatcher has which version in force, and since when each was heard.
 
-Judgement: no I/O, no clock; times are whole microseconds. An acknowledgement counts for the incarnation
+Decision logic: no I/O, no clock; times are whole microseconds. An acknowledgement counts for the incarnation
 (the start of a dispatcher) that sent it. Within one, what is in force never goes back, so that
 acknowledgements that are lost, doubled or come out of order never count for what was not applied; a new
 incarnation begins with what it says.
--- a/hoistplank/distribution/change_index.py
+++ b/hoistplank/distribution/change_index.py
@@ -1,4 +1,4 @@
-"""The changes that a replica's state is made of, in order of version. Judgement: no I/O, no clock.
+"""The changes that a replica's state is made of, in order of version. Decision logic: no I/O, no clock.
 
 Each change holds only what no later change has superseded, so the index is as large as the state and not as
 large as the history, and what a follower lacks is read from its newest end without a look at the rest.
--- a/hoistplank/distribution/follower_state.py
+++ b/hoistplank/distribution/follower_state.py
@@ -1,8 +1,8 @@
 """A dispatcher's side of the distribution: what of a replica's lines is applied, and what is then in force.
 
-Judgement: no I/O, no clock; times are whole microseconds. Nothing older ever replaces what is newer, whoever
-tells it. What is in force moves only when all up to a version has been applied; within a catch-up that is
-its end.
+Decision logic: no I/O, no clock; times are whole microseconds. Nothing older ever replaces what is newer,
+whoever tells it. What is in force moves only when all up to a version has been applied; within a catch-up
+that is its end.
 """
 
 from __future__ import annotations
