Distribution: unreadable configurations, logs without an epoch, lost connections and their load

A configuration of the log that is no text was passed by number and counted as in force once the next event was: its status now says why nobody has it. A log that counts anew without an epoch was heard, but its events counted as old: replicas said that nothing was newer; now they say nothing, and lists count as stale. Connections on which nothing comes for 30 s end.

--- a/hoistplank/cli/distribution.py
+++ b/hoistplank/cli/distribution.py
@@ -158,6 +158,8 @@
 def in_force_words(row: ChangeRow) -> str:
     """As "in force at 678 of 680; missing: d17 (has 3/118, unheard for 12 s), d40 (refused: …)"."""
     words = f"in force at {row.in_force} of {row.total}"
+    if row.unreadable:
+        return f"{words}; the change log's line can't be used: {row.unreadable}"
     if not row.missing:
         return words
     named = ", ".join(map(_missing_words, row.missing[:MOST_NAMED]))
@@ -216,4 +218,4 @@
     else:
         _echo(asked, best)
     rows = [best.change] if best.change is not None else [best.events, best.configurations]
-    sys.exit(int(any(row.missing for row in rows)))
+    sys.exit(int(any(row.missing or row.unreadable for row in rows)))
--- a/hoistplank/distribution/log_follower.py
+++ b/hoistplank/distribution/log_follower.py
@@ -9,6 +9,7 @@
 import structlog
 
 from hoistplank.distribution.messages import Configuration, ReplicatedEvent
+from hoistplank.distribution.versions import Version
 from hoistplank.protocol import changelog
 from hoistplank.protocol.changelog import Event, Known
 from hoistplank.protocol.errors import BadBytes
@@ -31,6 +32,9 @@
 
     def take(self, event: ReplicatedEvent) -> None: ...
 
+    def unreadable(self, version: Version, reason: str) -> None:
+        """The event of this version brought a configuration that can't be read: it is handed on to nobody."""
+
 
 class _Unlisted:
     """Stands where a dispatcher's owner hears what the log says: a replica takes whole events instead."""
@@ -65,6 +69,11 @@
             self._trusted_from_us = now + DISTRUST_US
         self._awake_us = now
 
+    @property
+    def version(self) -> Version:
+        """How far the log is, as it was told in this connection or the last."""
+        return Version(self.epoch, self.last)
+
     def silent_us(self) -> int | None:
         """For how long nothing has come in its order; None: nothing ever has."""
         return self.owner.clock.now() - self.heard_us if self.heard_us else None
@@ -126,8 +135,7 @@
                 configuration = _configurations.decode(event.configuration)
             except msgspec.MsgspecError as wrong:
                 # Danger: one that can't be read must not stop the purges behind it; its number is passed.
-                version = f"{event.epoch}/{event.seq}"
-                log.error("configuration of the change log can't be read", version=version, wrong=str(wrong))
+                self.taker.unreadable(Version(event.epoch, event.seq), str(wrong))
         return ReplicatedEvent(
             event.seq, event.epoch, 0, event.fleet, event.invalidate, configuration=configuration
         )
--- a/hoistplank/distribution/replica.py
+++ b/hoistplank/distribution/replica.py
@@ -9,12 +9,14 @@
 import asyncio
 import resource
 import socket
+from collections import OrderedDict
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from random import Random
 from typing import Any
 
 import structlog
+from msgspec.structs import replace
 
 from hoistplank.distribution.acknowledgements import AcknowledgementTable, ChangeKind, Life
 from hoistplank.distribution.assignment import Replica as ReplicaAddress
@@ -57,6 +59,9 @@
 UNHEARD_US = 7_000_000  # a dispatcher that is connected says something each second
 RETENTION_US = 86_400_000_000  # for so long a dispatcher that has gone is missed by name
 MOST_DESCRIPTORS = 8_192
+MOST_UNREADABLE = 64  # configurations of which it is kept why they can't be read
+# A connection on which nothing comes for so long ends; peers, who ask once, are given up once stuck.
+SILENT_CONNECTION_S = 30.0
 MOST_OUT = 65_536  # bytes waiting for a peer before nothing more is read from it
 
 
@@ -123,6 +128,12 @@
             raise BadBytes("an acknowledgement comes before 'follow'")
         self.replica.acknowledged(self.dispatcher, in_force)
 
+    def is_lost(self) -> bool:
+        """Whether its other side counts as gone: a machine that is cut off closes nothing."""
+        silent_s = asyncio.get_running_loop().time() - self.connection.heard_at
+        is_silent = self.peer is None and silent_s > SILENT_CONNECTION_S
+        return is_silent or self.connection.is_stuck()
+
     def _ended(self, task: asyncio.Task[BaseException | None]) -> None:
         wrong = None if task.cancelled() else task.result()
         if wrong is not None and not isinstance(wrong, OSError):
@@ -139,6 +150,7 @@
         self.table = AcknowledgementTable(settings.retention_us)
         self.queue = settings.queue()
         self.cut_off = 0
+        self.unreadable_changes = OrderedDict[Version, str]()
         self.complaints = Complaints()
         self.chance = Random(f"{settings.seed} {settings.name}")
         self.log = LogFollower(self, settings.changelog, self.chance, self.clock)
@@ -205,9 +217,21 @@
         for session in list(self.sessions.values()):
             session.event_came(previous, data)
 
+    def unreadable(self, version: Version, reason: str) -> None:
+        """A configuration of the change log can't be read: kept for who asks for its status."""
+        log.error("configuration of the change log can't be read", version=str(version), wrong=reason)
+        self.unreadable_changes[version] = reason
+        while len(self.unreadable_changes) > MOST_UNREADABLE:
+            self.unreadable_changes.popitem(last=False)
+
     def is_log_heard(self) -> bool:
+        """Whether this replica knows that nothing is newer than what it holds.
+
+        Danger: a log that counts anew without an epoch is heard, but what it tells counts as old.
+        """
         silent_us = self.log.silent_us()
-        return silent_us is not None and silent_us <= LOG_SILENT_US
+        is_silent = silent_us is None or silent_us > LOG_SILENT_US
+        return not is_silent and self.log.version >= self.state.version
 
     # Connections.
 
@@ -295,6 +319,9 @@
         self.state.forget(now)
         for name in self.table.forgotten(now):
             log.info("dispatcher forgotten: not heard for the time of retention", peer=name)
+        for connection in list(self.connections):
+            if connection.is_lost():
+                connection.connection.close()
         for peer in list(self.peer_sessions):
             peer.send_alive()
         heard = self.is_log_heard()
@@ -313,6 +340,9 @@
         if request.version is not None:
             version = request.version.version()
             change = change_row(now, self.table.in_force(now, version, self._kind(version)))
+            if version in self.unreadable_changes:
+                # Danger: its number is passed by all, but nobody was ever handed it.
+                change = replace(change, in_force=0, unreadable=self.unreadable_changes[version])
         return StatusAnswer(
             replica=self.name,
             region=self.settings.region,
--- a/hoistplank/distribution/status.py
+++ b/hoistplank/distribution/status.py
@@ -19,12 +19,13 @@
 
 
 class ChangeRow(msgspec.Struct, frozen=True):
-    """A change is in force at `in_force` of `total` dispatchers."""
+    """A change is in force at `in_force` of `total` dispatchers; `unreadable`: why no replica hands it on."""
 
     version: VersionFields
     in_force: int
     total: int
     missing: list[MissingRow]
+    unreadable: str = ""
 
 
 class UnheardRow(msgspec.Struct, frozen=True):
--- a/tests/test_distribution.py
+++ b/tests/test_distribution.py
@@ -12,7 +12,9 @@
 import pytest
 import uvloop
 
+from hoistplank.cli.distribution import in_force_words
 from hoistplank.distribution.assignment import Replica as ReplicaAddress
+from hoistplank.distribution.assignment import load_bound
 from hoistplank.distribution.dispatcher_session import MOST_WAITING
 from hoistplank.distribution.messages import Follow, InForce, RequestLine, VersionFields, encode
 from hoistplank.distribution.versions import NOTHING, Version
@@ -469,3 +471,76 @@
             assert [len(text) for _, text in one.configurations] == [1_000_000]
 
     run(scene())
+
+
+def test_a_configuration_of_wrong_types_is_handed_on_to_nobody_and_its_status_says_why() -> None:
+    async def scene() -> None:
+        async with Rig(replicas=1) as rig:
+            rig.hosts(1, whole=True, a="ready")
+            one = rig.dispatcher("d1")
+            rig.log.configure(2, "good")
+            rig.log.tell({"seq": 3, "configuration": {"text": 5}})
+            rig.log.tell({"seq": 4, "configuration": "x" * 1_100_000})
+            rig.purge(5, "ab")
+            await until(lambda: rig.replicas[0].table.in_force(0, at(5)).in_force == 1)
+            assert one.configurations == [(at(2), "good")] and one.owner.purges == ["ab"]
+            for number, wrong in (
+                (3, "Expected `str`, got `int` - at `$.text`"),
+                (4, "Expected `object`, got `str`"),
+            ):
+                status = await asked(rig.addresses[0].address, at(number))
+                assert status.change is not None and status.change.unreadable == wrong
+                assert (status.change.in_force, status.change.total) == (0, 1)
+                assert in_force_words(status.change).endswith(wrong)
+
+    run(scene())
+
+
+def test_a_log_that_counts_anew_without_an_epoch_leaves_nobody_sure() -> None:
+    """A replica can't tell its events from old ones: it takes none of them, and says that nobody knows."""
+
+    async def scene() -> None:
+        async with Rig(replicas=1, epoch=0) as rig:
+            rig.hosts(1, whole=True, a="ready")
+            rig.purge(2, "ab")
+            rig.log.configure(3, "one")
+            one = rig.dispatcher("d1", silence_us=3_000_000)
+            await until(lambda: one.in_force == Version(0, 3) and not one.owner.is_blind)
+            rig.restart_log(0)
+            rig.hosts(1, whole=True, a="ready")
+            rig.log.configure(2, "two")
+            replica = rig.replicas[0]
+            await until(lambda: replica.log.anew and replica.log.last == 2, patience_s=10)
+            await until(lambda: one.owner.is_blind, patience_s=10)
+            assert not replica.is_log_heard() and replica.state.version == Version(0, 3)
+            assert [text for _, text in one.configurations] == ["one"]
+
+    run(scene())
+
+
+def test_a_lost_replicas_dispatchers_spread_and_come_back(monkeypatch: pytest.MonkeyPatch) -> None:
+    count, replicas = 60, 3
+
+    async def scene() -> None:
+        monkeypatch.setattr("hoistplank.distribution.follower.return_delay_us", lambda chance: 200_000)
+        async with Rig(replicas) as rig:
+            rig.hosts(1, whole=True, a="ready")
+            await until(lambda: all(replica.log.is_read() for replica in rig.replicas))
+            each = [rig.dispatcher(f"d{number}") for number in range(count)]
+            await until(lambda: all(one.in_force == at(1) for one in each), patience_s=20)
+            assert all(len(replica.sessions) <= load_bound(count, replicas) for replica in rig.replicas)
+            lost = list(rig.replicas[0].sessions)
+            await rig.stop_replica(0)
+            rig.purge(2, "ab")
+            await until(lambda: all(one.in_force == at(2) for one in each), patience_s=20)
+            living = rig.replicas[1:]
+            assert sum(len(replica.sessions) for replica in living) == count
+            assert all(len(replica.sessions) <= load_bound(count, replicas - 1) for replica in living)
+            # It comes back: who prefers it goes back to it, after a time by chance.
+            again = rig.start_replica("c1", rig.addresses[0].address[1])
+            rig.connect_peers()
+            await until(lambda: len(again.sessions) >= len(lost) - 2, patience_s=20)
+            rig.purge(3, "cd")
+            await until(lambda: all(one.in_force == at(3) for one in each), patience_s=20)
+
+    run(scene())
--- a/tests/test_distribution_processes.py
+++ b/tests/test_distribution_processes.py
@@ -1,4 +1,4 @@
-"""Distribution on real processes: replicas and dispatchers as they are started, stopped, frozen and killed."""
+"""Distribution on real processes: replicas and dispatchers that are started, stopped, frozen and killed."""
 
 from __future__ import annotations
 
--- a/tests/test_distribution_service.py
+++ b/tests/test_distribution_service.py
@@ -179,6 +179,21 @@
     run(scene())
 
 
+def test_the_first_turn_after_a_standstill_finds_the_list_stale(tmp_path: Path) -> None:
+    """Requests that waited are read before any timer runs: none may be answered as if all had been heard."""
+
+    async def scene() -> None:
+        async with place(tmp_path) as made:
+            owner = made.dispatcher.service.owner
+            assert not owner.router.blind
+            owner.clock.ahead += 60_000_000_000  # a minute, in which this process did not run
+            owner.turn()
+            assert owner.router.blind and set(owner.posts) == {"a", "o"}
+            await until(lambda: not owner.router.blind)
+
+    run(scene())
+
+
 def test_a_configuration_of_a_megabyte_is_taken_up_or_refused_whole(tmp_path: Path) -> None:
     async def scene() -> None:
         async with place(tmp_path) as made:
