The reload test waits for the reload itself: it passed on a build that took the file back

until() was true before the signal's handler had run. It now waits for the last step of the reload; with read_again changed to take the file it fails.

--- a/tests/test_distribution_service.py
+++ b/tests/test_distribution_service.py
@@ -101,7 +101,9 @@
             yield made
 
 
-def test_a_dispatcher_takes_up_what_the_replicas_hand_on(tmp_path: Path) -> None:
+def test_a_dispatcher_takes_up_what_the_replicas_hand_on(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
     async def scene() -> None:
         async with place(tmp_path) as made:
             router = made.dispatcher.service.owner.router
@@ -113,9 +115,10 @@
             assert "00" * 8 in router.floors and made.retries == 0.25
             assert await made.page() == 200
             # A reload reads the dispatcher's own file, which is older than what was handed on.
+            reloaded = list[Any]()
+            monkeypatch.setattr(made.follower, "move", reloaded.append)  # the last step of a reload
             os.kill(os.getpid(), signal.SIGHUP)
-            await until(lambda: not made.dispatcher.service.renewed.is_set())
-            await asyncio.sleep(0)
+            await until(lambda: bool(reloaded))
             assert made.retries == 0.25 and made.configured == at(3)
 
     run(scene())
