Distribution: a restart with a kept list while all replicas are down; log_follower in place of log

A dispatcher with membership and distribution starts provisional from its kept list, as a stale one, and agrees with the replica once it is back.

--- a/hoistplank/distribution/replica.py
+++ b/hoistplank/distribution/replica.py
@@ -153,7 +153,7 @@
         self.unreadable_changes = OrderedDict[Version, str]()
         self.complaints = Complaints()
         self.chance = Random(f"{settings.seed} {settings.name}")
-        self.log = LogFollower(self, settings.changelog, self.chance, self.clock)
+        self.log_follower = LogFollower(self, settings.changelog, self.chance, self.clock)
         self.links: list[PeerLink] = []
         self.follow_peers(settings.peers)
         self.connections: dict[RequestConnection, None] = {}
@@ -182,7 +182,7 @@
             asyncio.create_task(part, name=name)
             for name, part in (
                 ("listener", self.listener.run()),
-                ("change log", self.log.run()),
+                ("change log", self.log_follower.run()),
                 ("ticks", self._ticks()),
                 *((f"peer {link.peer.name}", link.run()) for link in self.links),
             )
@@ -229,9 +229,9 @@
 
         Danger: a log that counts anew without an epoch is heard, but what it tells counts as old.
         """
-        silent_us = self.log.silent_us()
+        silent_us = self.log_follower.silent_us()
         is_silent = silent_us is None or silent_us > LOG_SILENT_US
-        return not is_silent and self.log.version >= self.state.version
+        return not is_silent and self.log_follower.version >= self.state.version
 
     # Connections.
 
@@ -254,7 +254,7 @@
 
     def refuses(self, follow: Follow) -> str:
         """Why this replica does not take a dispatcher now; empty: it does."""
-        if not (self.state.is_listed and self.log.is_read()):
+        if not (self.state.is_listed and self.log_follower.is_read()):
             return "the change log has not been read yet"
         known = self.table.incarnation(follow.dispatcher)
         if known is not None and known > follow.incarnation:
@@ -295,7 +295,7 @@
         heartbeat_at = peers_at = loop.time()
         while True:
             await asyncio.sleep(TICK_S)
-            self.log.awake()
+            self.log_follower.awake()
             self._give_turns()
             if loop.time() >= peers_at:
                 peers_at = loop.time() + PEER_CHANGES_S
@@ -348,7 +348,7 @@
             region=self.settings.region,
             version=VersionFields(*state.version),
             configuration=VersionFields(*state.configuration_version),
-            log_heard_ago_us=self.log.silent_us(),
+            log_heard_ago_us=self.log_follower.silent_us(),
             connected=fleet.connected,
             load=Load(
                 dispatchers=len(self.sessions),
--- a/tests/test_distribution.py
+++ b/tests/test_distribution.py
@@ -177,7 +177,7 @@
                 status = replica.table.in_force(0, at(99))
                 return status.missing[0].version if status.missing else NOTHING
 
-            await until(replica.log.is_read)
+            await until(replica.log_follower.is_read)
             reader, earlier = await life(1)
             await reader.readline()
             rig.purge(2, "ab")
@@ -293,7 +293,7 @@
                 finally:
                     far_writer.close()
 
-            await until(rig.replicas[0].log.is_read)
+            await until(rig.replicas[0].log_follower.is_read)
             relay = ReplicaAddress("c1", "east", ("127.0.0.1", await serve(cutting)))
             one = rig.dispatcher("d1", [relay])
             await until(lambda: len(lines) == 6)
@@ -438,7 +438,7 @@
             relay = await Relay(ReplicaAddress("log", "", ("127.0.0.1", rig.log_port))).start()
             replica = rig.start_replica("c2", changelog=relay.address.address[1])
             rig.connect_peers()
-            await until(replica.log.is_read)
+            await until(replica.log_follower.is_read)
             relay.cut()
             await until(lambda: not replica.is_log_heard())
             rig.purge(3, "ab")
@@ -510,7 +510,7 @@
             rig.hosts(1, whole=True, a="ready")
             rig.log.configure(2, "two")
             replica = rig.replicas[0]
-            await until(lambda: replica.log.anew and replica.log.last == 2, patience_s=10)
+            await until(lambda: replica.log_follower.anew and replica.log_follower.last == 2, patience_s=10)
             await until(lambda: one.owner.is_blind, patience_s=10)
             assert not replica.is_log_heard() and replica.state.version == Version(0, 3)
             assert [text for _, text in one.configurations] == ["one"]
@@ -525,7 +525,7 @@
         monkeypatch.setattr("hoistplank.distribution.follower.return_delay_us", lambda chance: 200_000)
         async with Rig(replicas) as rig:
             rig.hosts(1, whole=True, a="ready")
-            await until(lambda: all(replica.log.is_read() for replica in rig.replicas))
+            await until(lambda: all(replica.log_follower.is_read() for replica in rig.replicas))
             each = [rig.dispatcher(f"d{number}") for number in range(count)]
             await until(lambda: all(one.in_force == at(1) for one in each), patience_s=20)
             assert all(len(replica.sessions) <= load_bound(count, replicas) for replica in rig.replicas)
--- a/tests/test_distribution_service.py
+++ b/tests/test_distribution_service.py
@@ -214,3 +214,34 @@
             assert made.retries == 0.25 and len(json.dumps(good)) > 1_040_000
 
     run(scene())
+
+
+def test_with_all_replicas_down_a_restart_serves_from_its_kept_list_and_agrees_again(tmp_path: Path) -> None:
+    async def scene() -> None:
+        async with Rig(replicas=1) as rig:
+            port = rig.replicas[0].address[1]
+            (tmp_path / "op.sexp").write_text(
+                '(membership (state "state") (patience 50ms) (probe-time 200ms))\n'
+                f'(distribution (region east) (silence 3s) (replica c1 (endpoint "127.0.0.1:{port}")))'
+            )
+            hosts = {"a": CacheHost(served), "o": CacheHost(served)}
+            first = Running(tmp_path, hosts, known=None)
+            first.operator = True
+            async with first:
+                rig.log.tell(listing(1, first.targets, whole=True))
+                await until(lambda: first.service.phase is Phase.SERVING)
+            await rig.stop_replica(0)
+            rig.purge(2, "ab")
+            again = Running(tmp_path, hosts, known=None)
+            again.operator = True
+            async with again:
+                await until(lambda: again.service.phase is Phase.PROVISIONAL)
+                router = again.service.owner.router
+                assert router.blind and (await again.ask(1, "page"))[0] == 200
+                rig.hosts(3, b="ready")
+                rig.start_replica("c1", port)
+                rig.connect_peers()
+                await until(lambda: again.service.phase is Phase.SERVING and not router.blind)
+                assert set(again.service.owner.posts) == {"a", "b", "o"} and "ab" in router.floors
+
+    run(scene())
