--- a/tests/test_distribution_service.py
+++ b/tests/test_distribution_service.py
@@ -101,7 +101,9 @@
             yield made
 
 
-def test_a_dispatcher_takes_up_what_the_replicas_hand_on(tmp_path: Path) -> None:
+def test_a_dispatcher_takes_up_what_the_replicas_hand_on(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
     async def scene() -> None:
         async with place(tmp_path) as made:
             router = made.dispatcher.service.owner.router
@@ -113,9 +115,10 @@
             assert "00" * 8 in router.floors and made.retries == 0.25
             assert await made.page() == 200
             # A reload reads the dispatcher's own file, which is older than what was handed on.
+            reloaded = list[Any]()
+            monkeypatch.setattr(made.follower, "move", reloaded.append)  # the last step of a reload
             os.kill(os.getpid(), signal.SIGHUP)
-            await until(lambda: not made.dispatcher.service.renewed.is_set())
-            await asyncio.sleep(0)
+            await until(lambda: bool(reloaded))
             assert made.retries == 0.25 and made.configured == at(3)
 
     run(scene())
@@ -179,6 +182,21 @@
     run(scene())
 
 
+def test_the_first_turn_after_a_standstill_finds_the_list_stale(tmp_path: Path) -> None:
+    """Requests that waited are read before any timer runs: none may be answered as if all had been heard."""
+
+    async def scene() -> None:
+        async with place(tmp_path) as made:
+            owner = made.dispatcher.service.owner
+            assert not owner.router.blind
+            owner.clock.ahead += 60_000_000_000  # a minute, in which this process did not run
+            owner.turn()
+            assert owner.router.blind and set(owner.posts) == {"a", "o"}
+            await until(lambda: not owner.router.blind)
+
+    run(scene())
+
+
 def test_a_configuration_of_a_megabyte_is_taken_up_or_refused_whole(tmp_path: Path) -> None:
     async def scene() -> None:
         async with place(tmp_path) as made:
@@ -196,3 +214,34 @@
             assert made.retries == 0.25 and len(json.dumps(good)) > 1_040_000
 
     run(scene())
+
+
+def test_with_all_replicas_down_a_restart_serves_from_its_kept_list_and_agrees_again(tmp_path: Path) -> None:
+    async def scene() -> None:
+        async with Rig(replicas=1) as rig:
+            port = rig.replicas[0].address[1]
+            (tmp_path / "op.sexp").write_text(
+                '(membership (state "state") (patience 50ms) (probe-time 200ms))\n'
+                f'(distribution (region east) (silence 3s) (replica c1 (endpoint "127.0.0.1:{port}")))'
+            )
+            hosts = {"a": CacheHost(served), "o": CacheHost(served)}
+            first = Running(tmp_path, hosts, known=None)
+            first.operator = True
+            async with first:
+                rig.log.tell(listing(1, first.targets, whole=True))
+                await until(lambda: first.service.phase is Phase.SERVING)
+            await rig.stop_replica(0)
+            rig.purge(2, "ab")
+            again = Running(tmp_path, hosts, known=None)
+            again.operator = True
+            async with again:
+                await until(lambda: again.service.phase is Phase.PROVISIONAL)
+                router = again.service.owner.router
+                assert router.blind and (await again.ask(1, "page"))[0] == 200
+                rig.hosts(3, b="ready")
+                rig.start_replica("c1", port)
+                rig.connect_peers()
+                await until(lambda: again.service.phase is Phase.SERVING and not router.blind)
+                assert set(again.service.owner.posts) == {"a", "b", "o"} and "ab" in router.floors
+
+    run(scene())
