--- a/tests/test_distribution_state.py
+++ b/tests/test_distribution_state.py
@@ -485,3 +485,42 @@
     one, other = (state.lines_since(Version(1, number)) for number in (5_000, 4_000))
     assert all(a is b for a, b in zip(one[1:-1], other[1_001:-1], strict=True)), "encoded anew"
     assert state.lines_since(Version(1, 10_000))[0] is state.lines_since(Version(1, 10_000))[0]
+
+
+versions = st.builds(Version, st.integers(1, 3), st.integers(0, 6))
+lines = st.builds(
+    ReplicatedEvent,
+    st.integers(0, 6),
+    st.integers(1, 3),
+    st.integers(0, 6),
+    invalidate=st.none() | purges,
+    configuration=st.none() | configurations,
+    catch_up=st.none() | st.sampled_from(CatchUp),
+)
+
+
+@given(st.lists(lines | versions | st.sampled_from(("connects", "refuses", "takes")), max_size=60))
+@settings(max_examples=300, deadline=None)
+def test_in_force_never_goes_back_whatever_a_replica_or_the_caller_says(
+    walk: list[ReplicatedEvent | Version | str],
+) -> None:
+    follower, now = FollowerState(), 0
+    for step in walk:
+        now += S
+        before, told = follower.in_force(), follower.told
+        if isinstance(step, ReplicatedEvent):
+            verdict = follower.judge(now, step)
+            assert verdict is not Verdict.APPLY or step.catch_up is CatchUp.PART or step.version > told
+            assert verdict is Verdict.HEARTBEAT or verdict is Verdict.APPLY or follower.told == told
+        elif isinstance(step, Version):
+            follower.applied(step)
+        elif step == "connects":
+            follower.connection_began(now)
+        elif step == "refuses":
+            follower.configuration_refused(Version(2, now // S), "no")
+        else:
+            follower.configuration_applied(Version(1, now // S))
+        said = follower.in_force()
+        assert before.version.version() <= said.version.version() <= follower.told
+        assert before.configuration.version() <= said.configuration.version()
+        assert follower.told >= told, "what is held went back"
