--- a/hoistplank/distribution/messages.py
+++ b/hoistplank/distribution/messages.py
@@ -29,7 +29,9 @@
 MOST_REASON = 2_000  # characters of a refusal's reason
 ALL_OBJECTS_BUCKET = ALL_OBJECTS  # of a purge of all objects: a request's bucket lies between 0 and 255
 
-Name = Annotated[str, Meta(min_length=1, max_length=120, pattern=r"^[A-Za-z0-9_.:/-]+$")]
+NAME_PATTERN = r"[A-Za-z0-9_.:/-]{1,120}"  # of dispatchers and replicas
+
+Name = Annotated[str, Meta(pattern=f"^{NAME_PATTERN}$")]
 Count = Annotated[int, Meta(ge=0, le=(1 << 63) - 1)]
 
 
--- /dev/null
+++ b/hoistplank/lab/scale/role_cache_host.py
@@ -0,0 +1,166 @@
+"""Connections between dispatchers and cache hosts: what a dispatcher's real pool opens and keeps, and what
+arrives at a host. Lines are kept as in the steady state: two to a host, an attempt open on each."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from hoistplank.lab.scale.children import Child, running
+from hoistplank.lab.scale.log_process import Usage
+from hoistplank.lab.scale.measurements import Measurement
+from hoistplank.lab.scale.metering import Effort, Quantity, Step, awaited, kept_bytes_of
+from hoistplank.transport.ledger import Ledger
+from hoistplank.transport.pool import FEW_LINES, Line, Pool
+
+ROLE = "cache host"
+ACCEPT_PROCESS = "hoistplank.lab.scale.accept_process"
+HOSTS = (45, 90, 180, 360)
+DISPATCHERS = (85, 170, 340, 680)
+DESCRIPTORS = 8_192
+STREAMS, IDLE_S, CONNECT_S, REMEMBER_S = 10, 30.0, 5.0, 3.0
+REQUEST = b"GET probe-0 - 0\r\n\r\n"
+LOOK_S = 0.02
+
+
+class _Errand:
+    """An attempt that is never answered."""
+
+    def __init__(self, number: int) -> None:
+        self.id = f"held-{number}"
+
+    def may_begin(self) -> bool:
+        return True
+
+    def written(self) -> None:
+        """Nothing hangs on it."""
+
+    def failed(self, how: str) -> None:
+        """Its line is closed at the end of the measurement."""
+
+
+def _ignored(line: Line) -> Callable[[bytearray, int, int], int]:
+    return lambda buffer, start, end: end
+
+
+def dispatcher_pool() -> Pool:
+    """A pool as a dispatcher has one."""
+    ledger = Ledger(DESCRIPTORS)
+    return Pool(ledger, STREAMS, IDLE_S, CONNECT_S, REMEMBER_S, _ignored, lambda host, wrong: None)
+
+
+def hold(pool: Pool, port: int, hosts: int) -> list[Line | None]:
+    """Sends as many attempts to each host as it gets lines."""
+    address = ("127.0.0.1", port)
+    return [
+        pool.send(f"box-{host}", address, _Errand(host * FEW_LINES + number), REQUEST)
+        for host in range(hosts)
+        for number in range(FEW_LINES)
+    ]
+
+
+async def _connected(lines: list[Line | None]) -> None:
+    while any(line is not None and line.connection is None for line in lines):
+        await asyncio.sleep(LOOK_S)
+
+
+def _own_descriptors() -> int:
+    return len(os.listdir("/proc/self/fd"))
+
+
+async def _close(lines: list[Line | None]) -> None:
+    tasks = [line.task for line in lines if line is not None]
+    for line in lines:
+        if line is not None:
+            line.close(in_order=False)
+    await asyncio.gather(*tasks, return_exceptions=True)
+
+
+@dataclass(frozen=True, slots=True)
+class Connections:
+    """Connections at one size: how many descriptors, bytes and microseconds of processor time they take."""
+
+    size: int
+    descriptors: int
+    bytes: int
+    processor_us: float = 0.0
+
+
+async def _dispatcher_connections() -> list[Connections]:
+    """One dispatcher's connections to each number of hosts, one after another."""
+    found = []
+    async with running(ACCEPT_PROCESS) as (_, first):
+        for hosts in HOSTS:
+            before = _own_descriptors()
+            pool = dispatcher_pool()
+
+            async def connect(pool: Pool = pool, hosts: int = hosts) -> list[Line | None]:
+                lines = hold(pool, first.port, hosts)
+                await _connected(lines)
+                return lines
+
+            lines, kept = await kept_bytes_of(connect)
+            found.append(Connections(hosts, _own_descriptors() - before, kept))
+            await _close(lines)
+    return found
+
+
+def _dispatcher_side(effort: Effort) -> list[Measurement]:
+    notes = f"{FEW_LINES} kept lines a host"
+    memory = Quantity("dispatcher", "memory of kept connections", "B", "hosts", notes)
+    descriptors = Quantity("dispatcher", "descriptors to cache hosts", "descriptors", "hosts", notes)
+    found = []
+    for _ in range(effort.slow_repeats):
+        for row in awaited(_dispatcher_connections):
+            found += [memory.measured(row.size, row.bytes), descriptors.measured(row.size, row.descriptors)]
+    return found
+
+
+async def _arrived(child: Child, expected: int) -> Usage:
+    while (now := await child.ask()).descriptors < expected:
+        await asyncio.sleep(LOOK_S)
+    return now
+
+
+async def _host_connections() -> list[Connections]:
+    """What arrives at one host from each number of dispatchers, who join one after another."""
+    found = []
+    lines: list[Line | None] = []
+    async with running(ACCEPT_PROCESS) as (child, first):
+        for count in DISPATCHERS:
+            joined = len(lines) // FEW_LINES
+            pools = [dispatcher_pool() for _ in range(count - joined)]
+            lines += [line for pool in pools for line in hold(pool, first.port, 1)]
+            await _connected(lines)
+            now = await _arrived(child, first.descriptors + count * FEW_LINES)
+            opened = now.descriptors - first.descriptors
+            memory = now.resident_bytes - first.resident_bytes
+            found.append(Connections(count, opened, memory, now.processor_us - first.processor_us))
+        await _close(lines)
+    return found
+
+
+def _host_side(effort: Effort) -> list[Measurement]:
+    notes = f"{FEW_LINES} kept lines a dispatcher"
+    descriptors = Quantity(ROLE, "connections that arrive", "descriptors", "dispatchers", notes)
+    cost = Quantity(ROLE, "processor time of taking all connections", "us", "dispatchers", notes)
+    memory = Quantity(
+        ROLE, "memory of kept connections", "B", "dispatchers", f"{notes}; a small asyncio server"
+    )
+    found = []
+    for _ in range(effort.slow_repeats):
+        for row in awaited(_host_connections):
+            found += [
+                descriptors.measured(row.size, row.descriptors),
+                memory.measured(row.size, row.bytes),
+                cost.measured(row.size, row.processor_us),
+            ]
+    return found
+
+
+STEPS = (
+    Step(ROLE, "a dispatcher's connections", _dispatcher_side),
+    Step(ROLE, "connections that arrive at a host", _host_side),
+)
--- a/hoistplank/lab/scale/run.py
+++ b/hoistplank/lab/scale/run.py
@@ -29,7 +29,7 @@
 from hoistplank.lab.scale.run_children import ChildLost, HollowChild, LogChild
 from hoistplank.lab.scale.run_delays import Deliveries
 from hoistplank.lab.scale.run_lateness import Lateness
-from hoistplank.lab.scale.run_usage import HollowSample, LogSample, UsageSeries
+from hoistplank.lab.scale.run_usage import LEAST_SHARED, HollowSample, LogSample, UsageSeries
 from hoistplank.lab.scale.scene import S, Scene
 from hoistplank.lab.scale.scene_schedule import Planned, schedule
 
@@ -236,7 +236,7 @@
                     cpu_s=used.cpu_s,
                     rss_kb=used.rss_kb,
                     running=used.running,
-                    late_us=used.late_us,
+                    late_us=used.late_us if len(child.numbers) >= LEAST_SHARED else [],
                     audited=used.audited,
                     reconnects=used.reconnects,
                 )
@@ -247,7 +247,7 @@
         self.usage.own_late_us.append((now_us, self.lateness.taken()))
 
     def _line(self) -> str:
-        running = sum(row.running for row in self.usage.hollow[-len(self.children) :])
+        running = sum({row.process: row.running for row in self.usage.hollow}.values())
         seconds = self.now_us() / S
         return f"{seconds:.0f} s: {running} dispatchers, {len(self.deliveries.keys)} events told"
 
--- a/tests/test_distribution_state.py
+++ b/tests/test_distribution_state.py
@@ -218,7 +218,7 @@
     assert not mirror.follower.unheard(65 * S)
 
 
-def test_only_a_replica_that_is_not_behind_ends_the_silence_and_a_catch_up_with_its_end() -> None:
+def test_only_a_heartbeat_of_a_replica_that_is_not_behind_ends_the_silence() -> None:
     state, follower = ReplicatedState(HORIZON), FollowerState()
     state.apply(0, ReplicatedEvent(1, 7, fleet=listed("a"), invalidate=Purge(1.0, "o")))
     assert follower.unheard(0), "nobody was heard yet"
@@ -230,6 +230,8 @@
         follower.judge(20 * S, event)
     assert follower.unheard(20 * S), "in its turn, and not at its end"
     follower.judge(20 * S, end)
+    assert follower.unheard(20 * S), "a replica that does not hear the change log tells what it holds, too"
+    follower.judge(20 * S, state.heartbeat())
     assert not follower.unheard(20 * S)
     for second in range(21, 30):
         assert follower.judge(second * S, ReplicatedEvent(900, 6)) is Verdict.BEHIND
