--- a/hoistplank/distribution/host_table.py
+++ b/hoistplank/distribution/host_table.py
@@ -1,4 +1,4 @@
-"""The cache hosts that a replica hands on, each at the version at which it last changed. Judgement.
+"""The cache hosts that a replica hands on, each at the version at which it last changed. Decision logic.
 
 Hosts that are gone leave a tombstone, so that a follower that knew them hears of it. Tombstones are
 bounded: once one is dropped, followers older than it get the whole list.
--- a/hoistplank/distribution/state.py
+++ b/hoistplank/distribution/state.py
@@ -1,6 +1,6 @@
 """What a control replica holds of the change log, and what a follower at a version lacks of it.
 
-Judgement: no I/O, no clock; times are whole microseconds. The state is keyed: hosts by uid, purges by
+Decision logic: no I/O, no clock; times are whole microseconds. The state is keyed: hosts by uid, purges by
 object or bucket, and the newest configuration, each at the version at which it last changed. What is
 superseded is not handed on. One missing event is told as the change log told it; more than one as a
 catch-up (`messages.CatchUp`).
