--- a/hoistplank/lab/scale/run_record.py
+++ b/hoistplank/lab/scale/run_record.py
@@ -7,15 +7,20 @@
 from hoistplank.lab.scale.hollow_pairing import Costs, Pairing
 from hoistplank.lab.scale.measurements import Measurement
 from hoistplank.lab.scale.run_delays import Quantiles
-from hoistplank.lab.scale.run_verdict import Verdict, Window
+from hoistplank.lab.scale.run_verdict import ControlCost, Verdict, Window
 from hoistplank.lab.scale.scene import Scene
 
-DELAYS, RETURNS, DISPATCHER, LOG, PAIRING = "delay", "return", "dispatcher", "change log", "pairing"
+DELAYS, RETURNS, PAIRING = "delay", "return", "pairing"
+DISPATCHER, LOG, REPLICA = "dispatcher", "change log", "control replica"
 
 
 def records(scene: Scene, verdict: Verdict, pairing: Pairing | None, run: str) -> list[Measurement]:
-    """All of a run, in a settled order. `notes` name the stretch of the run and the fleet's size."""
-    rows = [row for window in verdict.windows for row in _window(window)] + _steady(verdict)
+    """What a page shows of a run, in a settled order: all of the steady state, of each fault the worst.
+    `notes` name the stretch of the run and the fleet's size."""
+    steady, *faults = verdict.windows
+    rows = [*_steady(steady, verdict.steady)]
+    for window in faults:
+        rows += _fault(window)
     size = f"{scene.fleet.dispatchers} dispatchers"
     found = [
         Measurement(role, quantity, unit, "", 0.0, value, run, f"{size}: {stretch}")
@@ -27,36 +32,46 @@
 Row = tuple[str, str, str, float, str]
 
 
-def _quantiles(role: str, name: str, found: Quantiles, notes: str) -> Iterator[Row]:
-    for quantile in ("p50", "p99", "max"):
-        yield role, f"{name} {quantile}", "ms", getattr(found, quantile), notes
-    yield role, f"{name} count", "1", float(found.many), notes
-    yield role, f"{name} never", "1", float(found.never), notes
+def _delay(role: str, name: str, found: Quantiles, quantile: str, notes: str) -> Row:
+    """Where some never came to their end, that is their number, and no time."""
+    if found.never:
+        return role, f"{name} that never came into force", "1", float(found.never), notes
+    return role, f"{name}, {quantile}", "ms", getattr(found, quantile), notes
 
 
-def _window(window: Window) -> Iterator[Row]:
-    notes = window.name
+def _steady(window: Window, cost: ControlCost) -> Iterator[Row]:
+    notes, use = window.name, window.use
     for kind, found in window.delays.items():
-        yield from _quantiles(DELAYS, kind, found, notes)
+        for quantile in ("p50", "p99", "max"):
+            yield _delay(DELAYS, f"{kind} to the last dispatcher", found, quantile, notes)
+    yield DISPATCHER, "control: processor time, as a real one", "of a core", cost.core, notes
+    yield DISPATCHER, "control: processor time, hollow", "of a core", cost.core_hollow, notes
+    yield DISPATCHER, "control: memory", "B", cost.memory_bytes, notes
+    yield DISPATCHER, "control: bytes", "B/s", cost.bytes_s, notes
+    yield LOG, "processor time", "of a core", use.log_core, notes
+    yield LOG, "bytes sent", "B/s", use.log_bytes_s, notes
+    if use.replica_memory_mb:
+        yield REPLICA, "processor time, the busiest", "of a core", use.replica_core, notes
+        yield REPLICA, "memory, the largest", "MB", use.replica_memory_mb, notes
+        yield REPLICA, "bytes among replicas and log, all together", "B/s", use.back_bytes_s, notes
+
+
+def _fault(window: Window) -> Iterator[Row]:
+    notes, use = window.name, window.use
+    for kind, found in window.delays.items():
+        yield _delay(DELAYS, f"{kind} to the last dispatcher", found, "max", notes)
     if window.returns.many:
-        yield from _quantiles(RETURNS, "until all is in force", window.returns, notes)
-    use = window.use
-    yield DISPATCHER, "processor time, hollow, mean", "core", use.dispatcher_core, notes
-    yield DISPATCHER, "processor time, hollow, most of any second", "core", use.dispatcher_core_most, notes
-    yield DISPATCHER, "received, mean", "B/s", use.dispatcher_bytes_s, notes
-    yield DISPATCHER, "received, most of any second", "B/s", use.dispatcher_bytes_s_most, notes
-    yield LOG, "processor time, mean", "core", use.log_core, notes
-    yield LOG, "processor time, most of any second", "core", use.log_core_most, notes
-    yield LOG, "sent", "B/s", use.log_bytes_s, notes
-
-
-def _steady(verdict: Verdict) -> list[Row]:
-    steady, notes = verdict.steady, "steady"
-    return [
-        (DISPATCHER, "processor time, as a real one", "core", steady.core, notes),
-        (DISPATCHER, "memory of control", "B", steady.memory_bytes, notes),
-        (DISPATCHER, "lines received", "1/s", steady.lines_s, notes),
-    ]
+        yield _delay(RETURNS, "until all is in force again", window.returns, "max", notes)
+    yield (
+        DISPATCHER,
+        "control: processor time, hollow, any second",
+        "of a core",
+        use.dispatcher_core_most,
+        notes,
+    )
+    yield DISPATCHER, "control: bytes, any second", "B/s", use.dispatcher_bytes_s_most, notes
+    if use.replica_memory_mb:
+        yield REPLICA, "processor time, any replica, any second", "of a core", use.replica_core_most, notes
 
 
 def _pairing(pairing: Pairing, run: str) -> list[Measurement]:
--- a/tests/test_scale_run.py
+++ b/tests/test_scale_run.py
@@ -18,7 +18,8 @@
 
 from hoistplank.choice import ALL_OBJECTS, Router
 from hoistplank.interface import HostEntry
-from hoistplank.lab.scale import run_broken
+from hoistplank.lab.scale import measurements, run_broken
+from hoistplank.lab.scale.faults import Strike
 from hoistplank.lab.scale.fleet import Fleet
 from hoistplank.lab.scale.hollow import Position
 from hoistplank.lab.scale.hollow_audit import Auditor
@@ -29,6 +30,7 @@
 from hoistplank.lab.scale.run import Played, ReplicaStatus
 from hoistplank.lab.scale.run_delays import NEVER, Deliveries, quantiles
 from hoistplank.lab.scale.run_paths import LOG, REPLICAS, Cut, LogPaths, ReplicaPaths
+from hoistplank.lab.scale.run_record import records
 from hoistplank.lab.scale.run_usage import HollowSample, LogSample, UsageSeries, late_ms
 from hoistplank.lab.scale.run_verdict import OF_TIME, judged
 from hoistplank.lab.scale.scene import KINDS, S, Scene, read
@@ -434,6 +436,19 @@
     assert not overstated["replicas_count_only_what_is_in_force"]
 
 
+def test_records_tell_the_steady_state_and_the_worst_of_each_fault(tmp_path: Path) -> None:
+    run = played_with(0, S, 1)
+    run.strikes.append(Strike("rack 0.5 for 1s", "rack", 5 * S, 6 * S, 1))
+    rows = records(run.scene, judged(run), None, "scale now")
+    file = tmp_path / "scale-run.parquet"
+    measurements.write(file, rows, measurements.RunInfo("scale now", "", "", "quick"))
+    assert measurements.read(file) == rows
+    delays = {(row.quantity, row.notes): row.value for row in rows if row.role == "delay"}
+    assert delays["purge to the last dispatcher, max", "2 dispatchers: steady"] == 1_000.0
+    assert {row.notes for row in rows} == {"2 dispatchers: steady", "2 dispatchers: rack 0.5 for 1s"}
+    assert all(not row.per and row.run == "scale now" for row in rows)
+
+
 # Whole runs, small.
 
 
