--- a/tests/test_scale_run.py
+++ b/tests/test_scale_run.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+import itertools
 import os
 import signal
 import subprocess
@@ -37,6 +39,8 @@
 from hoistplank.lab.scale.scene_schedule import BATCH_US, Change, HostStep, Purge, schedule
 from hoistplank.operator.faults import Faults
 from hoistplank.protocol import changelog
+from hoistplank.standins.changelog import ChangeLog
+from hoistplank.standins.wire import serve
 
 ROOT = Path(__file__).resolve().parents[1]
 SCENES = sorted((ROOT / "deploy" / "scale").glob("*.sexp"))
@@ -165,6 +169,29 @@
     assert (again.expected.epoch, again.expected.number, again.event["seq"]) == (1, 1, 1)
 
 
+def test_a_follower_ahead_of_a_log_hears_its_number_while_it_tells_events() -> None:
+    async def scene() -> None:
+        log = ChangeLog()
+        port = await serve(log.talk)
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(b"since 100\n")
+
+        async def telling() -> None:
+            for number in itertools.count(1):
+                log.tell({"seq": number, "invalidate": {"time": 1, "object": "ab"}})
+                await asyncio.sleep(0.05)
+
+        told = asyncio.create_task(telling())
+        async with asyncio.timeout(5):
+            line = await reader.readline()
+        told.cancel()
+        writer.close()
+        number = msgspec.json.decode(line)
+        assert list(number) == ["seq"] and 0 < number["seq"] < 100
+
+    uvloop.run(scene())
+
+
 # What a Router holds, against what was told.
 
 
