--- a/benchmarks/scale.py
+++ b/benchmarks/scale.py
@@ -48,6 +48,7 @@
 BROKEN_AT_ONCE = 4
 SAME_BYTES = 0.05  # how far what one event brings may differ between a hollow dispatcher and a real one
 TOLD_EVERY_S = 10.0
+SHOWN_FALSE = 20
 
 
 def same_cost(pairing: Pairing) -> bool:
@@ -132,6 +133,7 @@
         "windows": msgspec.to_builtins(found.windows),
         "stragglers": found.stragglers,
         "last_most_often": found.slowest,
+        "false_acknowledgements": msgspec.to_builtins(played.false[:SHOWN_FALSE]),
         "replica_answers": len(played.statuses),
         "reconnects": sum({row.process: row.reconnects for row in played.usage.hollow}.values()),
         "hollow_rss_mb": round(rss_kb / 1_024),
