--- a/hoistplank/lab/scale/measure.py
+++ b/hoistplank/lab/scale/measure.py
@@ -9,6 +9,7 @@
 from hoistplank.lab.scale import (
     role_cache_host,
     role_change_log,
+    role_control_replica,
     role_control_service,
     role_data_path,
     role_dispatcher,
@@ -26,6 +27,7 @@
         *role_dispatcher.STEPS,
         *role_requests.STEPS,
         *role_change_log.STEPS,
+        *role_control_replica.STEPS,
         *role_control_service.steps(parts),
         *role_operator.STEPS,
         *role_cache_host.STEPS,
--- a/hoistplank/lab/scale/requirement_list.py
+++ b/hoistplank/lab/scale/requirement_list.py
@@ -8,8 +8,8 @@
 from hoistplank.lab.scale.target import SECONDS_A_DAY, TARGET, Budget
 
 DISPATCHER, CHANGE_LOG, CONTROL_SERVICE = "dispatcher", "change log", "control service"
-OPERATOR, CACHE_HOST, DATA_PATH = "operator", "cache host", "data path"
-ROLES = (DISPATCHER, CHANGE_LOG, CONTROL_SERVICE, OPERATOR, CACHE_HOST, DATA_PATH)
+CONTROL_REPLICA, OPERATOR, CACHE_HOST, DATA_PATH = "control replica", "operator", "cache host", "data path"
+ROLES = (DISPATCHER, CHANGE_LOG, CONTROL_REPLICA, CONTROL_SERVICE, OPERATOR, CACHE_HOST, DATA_PATH)
 
 # What a configuration holds is not told: so many tenants, some 30 KB, are an assumption of the page.
 TENANTS_ASSUMED = 200
@@ -41,6 +41,10 @@
     "replay of every event, back-pressure per follower: **no compaction**", "standins/changelog.py"
 )
 LOG_STORAGE = Mechanism("log without retention", "standins/changelog.py")
+REPLICA_FAN_OUT = Mechanism("replicated state with acknowledgements", "distribution/replica.py")
+REPLICA_STATE = Mechanism("compacted state, a catch-up by version", "distribution/state.py")
+REPLICA_TABLE = Mechanism("acknowledgement table", "distribution/acknowledgements.py")
+REPLICA_FOLLOWING = Mechanism("versions in force, never going back", "distribution/follower_state.py")
 RANKING = Mechanism("weighted rendezvous hashing", "choice.py (`_rank`)")
 
 # Sizes.
@@ -52,6 +56,8 @@
 _open = _requests * LONGEST_DEADLINE_S
 HOSTS = Count(TARGET.hosts, f"{TARGET.hosts} hosts")
 FLEET = Count(TARGET.dispatchers, f"{TARGET.dispatchers} dispatchers")
+_share = TARGET.dispatchers / TARGET.control_machines
+SHARE = Count(_share, f"{_share:.0f} dispatchers (a fifth)")
 FOLLOWERS = Count(TARGET.dispatchers, f"{TARGET.dispatchers} followers")
 HOUR = Count(_hour, f"{_hour:,.0f} purges (an hour)")
 DAY = Count(_day, f"{_day:,.0f} events (a day)")
@@ -77,6 +83,7 @@
 PART_RATE = Count(_requests * _parts, f"{_requests * _parts:,.0f} requests/s")
 REQUEST_RATE = Count(_requests, f"{_requests:.0f} requests/s")
 FLEET_PURGE_RATE = Count(TARGET.dispatchers * TARGET.purges_per_s, f"{FLEET.text} × {PURGE_RATE.text}")
+SHARE_WITHIN = Count(_share / TARGET.change_within_s, f"{SHARE.text} {_within}")
 WITHIN = Count(1 / TARGET.change_within_s, _within)
 FLEET_WITHIN = Count(TARGET.dispatchers / TARGET.change_within_s, f"{FLEET.text} {_within}")
 
@@ -92,6 +99,17 @@
         budget=Budget.DISPATCHER_CPU,
         counted=True,
     ),
+    Requirement(
+        DISPATCHER,
+        "judging and acknowledging purges of a replica",
+        "processor time of a replica's purges judged",
+        PURGE_RATE,
+        PERCENT,
+        REPLICA_FOLLOWING,
+        basis=Basis.PER_EVENT,
+        budget=Budget.DISPATCHER_CPU,
+        counted=True,
+    ),
     Requirement(
         DISPATCHER,
         "processor time of list changes",
@@ -275,6 +293,105 @@
     ),
     Requirement(CHANGE_LOG, "memory of a day's events", "memory of events held", DAY, MEGABYTES, LOG_STORAGE),
     Requirement(CHANGE_LOG, "descriptors", "descriptors", FLEET, DESCRIPTORS, LOG_FAN_OUT),
+    Requirement(
+        CONTROL_REPLICA,
+        "purges to a fifth of the fleet, acknowledged",
+        "processor time of an event",
+        SHARE,
+        PERCENT,
+        REPLICA_FAN_OUT,
+        times=PURGE_RATE,
+        budget=Budget.CONTROL_CPU,
+    ),
+    Requirement(
+        CONTROL_REPLICA,
+        "purges to the whole fleet from one replica",
+        "processor time of an event",
+        FLEET,
+        PERCENT,
+        REPLICA_FAN_OUT,
+        times=PURGE_RATE,
+        budget=Budget.CONTROL_CPU,
+    ),
+    Requirement(
+        CONTROL_REPLICA,
+        "bytes of purges to a fifth of the fleet",
+        "bytes of an event",
+        SHARE,
+        KILOBYTES_A_SECOND,
+        REPLICA_FAN_OUT,
+        times=PURGE_RATE,
+    ),
+    Requirement(
+        CONTROL_REPLICA,
+        "resident memory of the process, few purges",
+        "resident memory",
+        SHARE,
+        MEGABYTES,
+        REPLICA_FAN_OUT,
+    ),
+    Requirement(
+        CONTROL_REPLICA,
+        "descriptors",
+        "descriptors",
+        SHARE,
+        DESCRIPTORS,
+        REPLICA_FAN_OUT,
+    ),
+    Requirement(
+        CONTROL_REPLICA,
+        "memory of purges, horizon of an hour",
+        "memory of purges within the horizon",
+        HOUR,
+        MEGABYTES,
+        REPLICA_STATE,
+    ),
+    Requirement(
+        CONTROL_REPLICA,
+        "memory of acknowledgements",
+        "memory of acknowledgements",
+        FLEET,
+        MEGABYTES,
+        REPLICA_TABLE,
+    ),
+    Requirement(
+        CONTROL_REPLICA,
+        "a status of the fleet",
+        "processor time of a status of the fleet",
+        FLEET,
+        MILLISECONDS,
+        REPLICA_TABLE,
+    ),
+    Requirement(
+        CONTROL_REPLICA,
+        "bytes of a catch-up to one dispatcher, horizon of 60 s",
+        "bytes of a catch-up from nothing",
+        PURGES_KEPT_WINDOW,
+        KILOBYTES_A_SECOND,
+        REPLICA_STATE,
+        times=WITHIN,
+        budget=Budget.DISPATCHER_BYTES,
+    ),
+    Requirement(
+        CONTROL_REPLICA,
+        "bytes of a catch-up to one dispatcher, horizon of an hour",
+        "bytes of a catch-up from nothing",
+        PURGES_KEPT_HOUR,
+        KILOBYTES_A_SECOND,
+        REPLICA_STATE,
+        times=WITHIN,
+        budget=Budget.DISPATCHER_BYTES,
+    ),
+    Requirement(
+        CONTROL_REPLICA,
+        "a fifth of the fleet catches up, horizon of an hour, lines alone",
+        "processor time of a later catch-up's lines",
+        PURGES_KEPT_HOUR,
+        PERCENT,
+        REPLICA_STATE,
+        times=SHARE_WITHIN,
+        budget=Budget.CONTROL_CPU,
+    ),
     Requirement(
         CONTROL_SERVICE,
         "building purges, 60 s kept",
--- a/hoistplank/lab/scale/slopes.py
+++ b/hoistplank/lab/scale/slopes.py
@@ -1,6 +1,6 @@
 """Least-squares slopes of measured points, their intervals, and whether a straight line fits at all.
 
-Judgement: points in, fits out; no I/O. A quantity is fitted as `intercept + slope * g(size)` with `g(n)`
+Decision logic: points in, fits out; no I/O. A quantity is fitted as `intercept + slope * g(size)` with `g(n)`
 one of n, n log n and n squared. The straight line stands unless it misses the means of the sizes by clearly
 more than the repeats at a size differ among each other, and another form misses them by much less.
 """
--- a/tests/test_scale_slopes.py
+++ b/tests/test_scale_slopes.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import math
 import re
 from pathlib import Path
@@ -16,7 +17,15 @@
 
 from hoistplank.cli.lab import lab
 from hoistplank.cli.scale import PAGE, RESULTS
-from hoistplank.lab.scale import role_change_log, role_dispatcher, role_operator, tables
+from hoistplank.distribution.messages import InForce, encode, read_request
+from hoistplank.distribution.versions import NOTHING
+from hoistplank.lab.scale import (
+    role_change_log,
+    role_control_replica,
+    role_dispatcher,
+    role_operator,
+    tables,
+)
 from hoistplank.lab.scale.measurements import (
     BadMeasurements,
     Measurement,
@@ -291,7 +300,12 @@
 
 @pytest.mark.parametrize(
     "step",
-    [*role_dispatcher.STEPS[1:3], role_operator.STEPS[1], role_change_log.STEPS[2]],
+    [
+        *role_dispatcher.STEPS[1:3],
+        role_operator.STEPS[1],
+        role_change_log.STEPS[2],
+        *role_control_replica.STEPS,
+    ],
     ids=lambda step: f"{step.role}: {step.title}",
 )
 def test_a_step_measures_what_slopes_can_be_drawn_from(step: Step) -> None:
@@ -313,6 +327,31 @@
     assert follower.last_seq() == 7
 
 
+class Sent(asyncio.WriteTransport):
+    """Keeps what is written."""
+
+    def __init__(self) -> None:
+        self.lines: list[bytes] = []
+
+    def write(self, data: object) -> None:
+        assert isinstance(data, bytes)
+        self.lines.append(data)
+
+
+def test_a_follower_of_a_replica_acknowledges_a_catch_up_at_its_end_alone() -> None:
+    sent, follower = Sent(), role_control_replica.AcknowledgingFollower("d1")
+    follower.connection_made(sent)
+    state = role_control_replica.state_with(purges=2, hosts=3)
+    *parts, end = state.lines_since(NOTHING)
+    follower.data_received(b"".join(parts))
+    assert follower.held == 0 and len(sent.lines) == 1
+    follower.data_received(end[:-1])
+    follower.data_received(end[-1:] + encode(state.heartbeat()))
+    assert follower.held == 3 and len(sent.lines) == 2
+    acknowledged = read_request(sent.lines[-1])
+    assert isinstance(acknowledged, InForce) and acknowledged.version.version() == state.version
+
+
 # The page.
 
 
