--- a/hoistplank/lab/scale/children.py
+++ b/hoistplank/lab/scale/children.py
@@ -42,7 +42,10 @@
             raise ChildFailed(f"{self.module} did not answer within {ANSWER_S:g} s") from None
         if not told:
             raise ChildFailed(f"{self.module} ended")
-        return msgspec.json.decode(told, type=Usage)
+        try:
+            return msgspec.json.decode(told, type=Usage)
+        except msgspec.MsgspecError as error:
+            raise ChildFailed(f"{self.module} answered {told[:80]!r}: {error}") from None
 
     async def end(self) -> None:
         """Ends the process; what doesn't go by itself is killed."""
@@ -57,10 +60,11 @@
 
 
 @contextlib.asynccontextmanager
-async def running(module: str) -> AsyncIterator[tuple[Child, Usage]]:
+async def running(module: str, *arguments: str) -> AsyncIterator[tuple[Child, Usage]]:
     """The child and its first answer; it is gone at the end."""
     pipe = asyncio.subprocess.PIPE
-    process = await asyncio.create_subprocess_exec(sys.executable, "-m", module, stdin=pipe, stdout=pipe)
+    command = (sys.executable, "-m", module, *arguments)
+    process = await asyncio.create_subprocess_exec(*command, stdin=pipe, stdout=pipe)
     child = Child(module, process)
     try:
         yield child, await child.answer()
--- a/hoistplank/lab/scale/role_change_log.py
+++ b/hoistplank/lab/scale/role_change_log.py
@@ -28,6 +28,7 @@
 GAP_S = 0.02
 GAP_PER_FOLLOWER_S = 0.0001
 LOOK_S = 0.05
+REACHED_S = 60.0
 
 
 class _Follower(asyncio.Protocol):
@@ -70,9 +71,10 @@
         return sum(follower.received for _, follower in self.rows)
 
     async def reached(self, seq: int) -> None:
-        """Waits until every follower has an event."""
-        while any(follower.last_seq() < seq for _, follower in self.rows):
-            await asyncio.sleep(LOOK_S)
+        """Waits until every follower has an event. Raises TimeoutError."""
+        async with asyncio.timeout(REACHED_S):
+            while any(follower.last_seq() < seq for _, follower in self.rows):
+                await asyncio.sleep(LOOK_S)
 
     def close(self) -> None:
         for transport, _ in self.rows:
--- a/hoistplank/lab/scale/tables.py
+++ b/hoistplank/lab/scale/tables.py
@@ -1,6 +1,6 @@
 """The generated tables of `docs/CAPACITY.md`: figures to Markdown, and their places between marker comments.
 
-Judgement on text: no file is touched here. A place begins with `<!-- table: NAME -->` and ends with
+Text in, text out: no file is touched here. A place begins with `<!-- table: NAME -->` and ends with
 `<!-- end of table -->`; all between is replaced.
 """
 
--- a/hoistplank/lab/scale/target.py
+++ b/hoistplank/lab/scale/target.py
@@ -1,4 +1,4 @@
-"""The fleet that capacity is planned for, and what control may cost. Judgement: figures alone."""
+"""The fleet that capacity is planned for, and what control may cost. Decision logic: figures alone."""
 
 from __future__ import annotations
 
