A refusal by a source pauses a request as one by a cache host does

Cause, by a trace: all parts of one object are filled through one parent, which refused 23,015 of 24,154 refused fills; after a refusal by a source Router.attempt_ended set no not_before, so a request used its six attempts there within 0.4 s of the 0.98 s it had. Ruled out: memory, descriptors, the core, cold budgets (docs/incidents/one-object-one-parent.md).

Change: the pause after a refusal stands outside the branch for failed cache hosts.

--- a/hoistplank/choice.py
+++ b/hoistplank/choice.py
@@ -292,9 +292,9 @@
             visit.missed, visit.missed_at = attempt.host, now
         elif note not in SOURCE_FAILED and (visit.attempts > 1 or result in FAILED_THERE):
             visit.failed_at.append(attempt.host)
-            if result == Result.FULL:
-                # What turned us away is crowded: come back a little later each time, spread by chance.
-                visit.not_before = now + int(20_000 * 2 ** min(visit.attempts, 4) * (0.5 + self.chance()))
+        if note == Note.SOURCE_REFUSED or (result == Result.FULL and note not in SOURCE_FAILED):
+            # What turned us away, host or source, is crowded: come back later each time, spread by chance.
+            visit.not_before = now + int(20_000 * 2 ** min(visit.attempts, 4) * (0.5 + self.chance()))
         self.waiting[id], visit.due = visit, 0
 
     def _learn(self, now: int, visit: Visit, attempt: Attempt, result: int, took: int, note: int) -> None:
