--- a/tests/test_distribution_state.py
+++ b/tests/test_distribution_state.py
@@ -390,7 +390,9 @@
             followed = move.replica if move.lines is None else -1
             is_current = Verdict.BEHIND not in verdicts
         else:
-            lines = [*replica.lines_since(sent)[: move.lines], encode(replica.heartbeat_for(replica.version))]
+            lines = replica.lines_since(sent)[: move.lines]
+            if move.lines is None:  # else the connection has broken off
+                lines.append(encode(replica.heartbeat_for(replica.version)))
             verdicts = [mirror.hear(now, line) for line in lines]
             assert not (is_current and Verdict.GAP in verdicts)
             followed = -1 if move.lines is not None or Verdict.GAP in verdicts else followed
@@ -414,30 +416,37 @@
     assert all(time <= max(made.values()) for time in mirror.purges.values()), "made up"
 
 
+pauses = st.sampled_from((0, 1, 7 * S, 20 * S, HORIZON, HORIZON + 1))
+
+
 @given(
-    st.lists(
-        st.tuples(st.integers(0, 20 * S), st.sampled_from((*KEYS, "r", "s")), st.integers(1, 99)), max_size=60
-    ),
+    st.lists(st.tuples(pauses, st.sampled_from((*KEYS, "r", "s")), st.integers(1, 99)), max_size=60),
     st.integers(1, 6),
 )
 @settings(max_examples=200, deadline=None)
 def test_purges_last_for_the_horizon_and_are_bounded_at_any_order(
     told: list[tuple[int, str, int]], most: int
 ) -> None:
-    state, now = ReplicatedState(HORIZON, most_purges=most), 0
+    state, now, fits = ReplicatedState(HORIZON, most_purges=most), 0, True
     state.apply(0, ReplicatedEvent(1, 1, fleet=listed("a")))
-    model = OrderedDict[str, tuple[float, int]]()
+    heard = list[tuple[int, str, float]]()
+    model = OrderedDict[str, tuple[float, int]]()  # the newest of each, until the horizon after its last
     for number, (pause, key, time) in enumerate(told, 2):
         now += pause
         state.apply(now, ReplicatedEvent(number, 1, invalidate=Purge(float(time), key)))
         model = OrderedDict((k, v) for k, v in model.items() if v[1] >= now - HORIZON)
         model[key] = max(float(time), model.pop(key, (0.0, 0))[0]), now
+        heard.append((now, key, float(time)))
         mirror = Mirror()
         mirror.follow(now, state)
-        assert all(mirror.floor(k) >= v[0] for k, v in model.items()), "a purge was lost"
+        assert all(
+            mirror.floor(k) >= made for at, k, made in heard if at >= now - HORIZON
+        ), "a purge was lost"
         assert set(mirror.purges) <= {*model, ALL_OBJECTS_BUCKET}, "beyond the horizon"
+        assert pause <= HORIZON or set(mirror.purges) == {key}, "all that was told before is beyond it"
         assert len(mirror.purges) <= most + 1 and state.size().purges <= most + 1
-        if len(model) <= most and ALL_OBJECTS_BUCKET not in mirror.purges:
+        fits = fits and len(model) <= most
+        if fits:
             assert mirror.purges == {k: v[0] for k, v in model.items()}
 
 
@@ -480,3 +489,42 @@
     one, other = (state.lines_since(Version(1, number)) for number in (5_000, 4_000))
     assert all(a is b for a, b in zip(one[1:-1], other[1_001:-1], strict=True)), "encoded anew"
     assert state.lines_since(Version(1, 10_000))[0] is state.lines_since(Version(1, 10_000))[0]
+
+
+versions = st.builds(Version, st.integers(1, 3), st.integers(0, 6))
+lines = st.builds(
+    ReplicatedEvent,
+    st.integers(0, 6),
+    st.integers(1, 3),
+    st.integers(0, 6),
+    invalidate=st.none() | purges,
+    configuration=st.none() | configurations,
+    catch_up=st.none() | st.sampled_from(CatchUp),
+)
+
+
+@given(st.lists(lines | versions | st.sampled_from(("connects", "refuses", "takes")), max_size=60))
+@settings(max_examples=300, deadline=None)
+def test_in_force_never_goes_back_whatever_a_replica_or_the_caller_says(
+    walk: list[ReplicatedEvent | Version | str],
+) -> None:
+    follower, now = FollowerState(), 0
+    for step in walk:
+        now += S
+        before, told = follower.in_force(), follower.told
+        if isinstance(step, ReplicatedEvent):
+            verdict = follower.judge(now, step)
+            assert verdict is not Verdict.APPLY or step.catch_up is CatchUp.PART or step.version > told
+            assert verdict is Verdict.HEARTBEAT or verdict is Verdict.APPLY or follower.told == told
+        elif isinstance(step, Version):
+            follower.applied(step)
+        elif step == "connects":
+            follower.connection_began(now)
+        elif step == "refuses":
+            follower.configuration_refused(Version(2, now // S), "no")
+        else:
+            follower.configuration_applied(Version(1, now // S))
+        said = follower.in_force()
+        assert before.version.version() <= said.version.version() <= follower.told
+        assert before.configuration.version() <= said.configuration.version()
+        assert follower.told >= told, "what is held went back"
