Slopes of control replicas: heartbeats, configurations, catch-ups, peers' rows, a dispatcher

Change: role_replica_service (a real replica in a process of its own on loopback; rows through the tables without sockets) and role_replica_follower (the real follower, owner and module; lines from a replica's state tables, acknowledgements through a socket pair); their requirements in a list of their own, names of roles and units in requirement_names (test_scale_slopes imports them from there, nothing else of it changed). The sums of the steady state are now those of a dispatcher that follows a replica: purges by the log and judging alone no longer count, purges with acknowledgement and heartbeats do.

Tests: test_scale_replica_slopes and test_scale_slopes, 72 passed; the whole suite was not run.

--- a/hoistplank/cli/scale.py
+++ b/hoistplank/cli/scale.py
@@ -36,11 +36,12 @@
 @scale.command()
 @click.option("--quick", is_flag=True, help="Fewer repeats, and no load on a real dispatcher.")
 @click.option("--out", type=click.Path(dir_okay=False), required=True, help="The Parquet file to write.")
-def slopes(quick: bool, out: str) -> None:
+@click.option("--only", default="", help="Only the steps whose title holds this text.")
+def slopes(quick: bool, out: str, only: str) -> None:
     """Measure every role at four sizes or more: some minutes, the quick form some 20 s."""
     from hoistplank.lab.runner import revision
     from hoistplank.lab.scale.children import ChildFailed
-    from hoistplank.lab.scale.measure import carried_out, steps
+    from hoistplank.lab.scale.measure import carried_out, steps, titled
     from hoistplank.lab.scale.measurements import RunInfo, write
     from hoistplank.lab.scale.metering import QUICK, WHOLE, Step
 
@@ -60,7 +61,9 @@
         purges_name=resources.PURGES,
     )
     effort = QUICK if quick else WHOLE
-    chosen = steps(parts, effort)
+    chosen = titled(steps(parts, effort), only)
+    if not chosen:
+        return fail(f"no step's title holds '{only}'")
     began_at = datetime.now(UTC).strftime("%Y-%m-%dT%H:%MZ")
     form = "quick" if quick else "whole"
     info = RunInfo(f"slopes {began_at}", revision(ROOT), platform.platform(), form)
--- a/hoistplank/lab/scale/log_process.py
+++ b/hoistplank/lab/scale/log_process.py
@@ -2,7 +2,8 @@
 
 Commands come as lines on standard input, answers go out as lines of JSON: `list N` tells a whole list of N
 hosts, `fill N` puts N purges into the log before anyone is told, `tell N GAP` tells N purges so many seconds
-apart, `usage` only answers. Each answer is a `Usage` of this process. It ends with its standard input.
+apart, `configure N BYTES GAP` tells N configurations of such a length, `usage` only answers. Each answer is a
+`Usage` of this process. It ends with its standard input.
 """
 
 from __future__ import annotations
@@ -22,6 +23,7 @@
 from hoistplank.standins.wire import serve
 
 PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
+COMMENT_LINE = "; a line of an operator's file\n"
 
 
 class Usage(msgspec.Struct, frozen=True):
@@ -41,6 +43,11 @@
     return Usage(port, time.process_time_ns() / 1_000, resident, len(os.listdir("/proc/self/fd")), seq)
 
 
+def configuration_text(length: int) -> str:
+    """A text of such a length: a replica hands it on unread."""
+    return COMMENT_LINE * (length // len(COMMENT_LINE))
+
+
 class Served:
     """The log and the number of its last event."""
 
@@ -63,6 +70,11 @@
             self.seq += 1
             rows = [target(f"box-{number}", "box", 10_000 + number) for number in range(int(words[1]))]
             self.log.tell(listing(self.seq, rows, whole=True))
+        elif words[0] == "configure":
+            for _ in range(int(words[1])):
+                self.seq += 1
+                self.log.configure(self.seq, configuration_text(int(words[2])))
+                await asyncio.sleep(float(words[3]))
         elif words[0] == "tell":
             for _ in range(int(words[1])):
                 self.log.tell(self.purge())
--- a/hoistplank/lab/scale/measure.py
+++ b/hoistplank/lab/scale/measure.py
@@ -14,6 +14,8 @@
     role_data_path,
     role_dispatcher,
     role_operator,
+    role_replica_follower,
+    role_replica_service,
     role_requests,
 )
 from hoistplank.lab.scale.measurements import Measurement
@@ -28,6 +30,8 @@
         *role_requests.STEPS,
         *role_change_log.STEPS,
         *role_control_replica.STEPS,
+        *role_replica_service.STEPS,
+        *role_replica_follower.STEPS,
         *role_control_service.steps(parts),
         *role_operator.STEPS,
         *role_cache_host.STEPS,
@@ -36,6 +40,11 @@
     return [step for step in found if not (effort.is_quick and step.whole_only)]
 
 
+def titled(chosen: Sequence[Step], part: str) -> list[Step]:
+    """The steps whose title holds a text."""
+    return [step for step in chosen if part in step.title]
+
+
 def carried_out(
     chosen: Sequence[Step], effort: Effort, run: str, began: Callable[[Step], None]
 ) -> list[Measurement]:
--- a/hoistplank/lab/scale/requirement_list.py
+++ b/hoistplank/lab/scale/requirement_list.py
@@ -4,13 +4,25 @@
 
 from math import ceil
 
-from hoistplank.lab.scale.requirements import Basis, Count, Mechanism, Requirement, Unit
+from hoistplank.lab.scale.requirement_list_replica import REPLICA_REQUIREMENTS
+from hoistplank.lab.scale.requirement_names import (
+    CACHE_HOST,
+    CHANGE_LOG,
+    CONTROL_REPLICA,
+    CONTROL_SERVICE,
+    DATA_PATH,
+    DESCRIPTORS,
+    DISPATCHER,
+    KILOBYTES,
+    KILOBYTES_A_SECOND,
+    MEGABYTES,
+    MILLISECONDS,
+    OPERATOR,
+    PERCENT,
+)
+from hoistplank.lab.scale.requirements import Basis, Count, Mechanism, Requirement
 from hoistplank.lab.scale.target import SECONDS_A_DAY, TARGET, Budget
 
-DISPATCHER, CHANGE_LOG, CONTROL_SERVICE = "dispatcher", "change log", "control service"
-CONTROL_REPLICA, OPERATOR, CACHE_HOST, DATA_PATH = "control replica", "operator", "cache host", "data path"
-ROLES = (DISPATCHER, CHANGE_LOG, CONTROL_REPLICA, CONTROL_SERVICE, OPERATOR, CACHE_HOST, DATA_PATH)
-
 # What a configuration holds is not told: so many tenants, some 30 KB, are an assumption of the page.
 TENANTS_ASSUMED = 200
 XDS_WINDOW_S = 60
@@ -19,13 +31,6 @@
 MOST_FOLLOWED_NAMES = 100_000
 LARGEST_ANSWER_BYTES = 240_000
 
-PERCENT = Unit("% of a core", 1e-4)  # from microseconds in a second
-MILLISECONDS = Unit("ms", 1e-3)
-KILOBYTES = Unit("KB", 1e-3)
-KILOBYTES_A_SECOND = Unit("KB/s", 1e-3)
-MEGABYTES = Unit("MB", 1e-6)
-DESCRIPTORS = Unit("descriptors", 1.0)
-
 LOG_FOLLOWING = Mechanism("replicated log, resumed by sequence number", "routing/listing.py")
 LOG_FAN_OUT = Mechanism("fan-out of the log, a cursor per follower", "standins/changelog.py")
 HOST_TABLE = Mechanism("full copy of the membership list", "choice.py")
@@ -97,7 +102,6 @@
         LOG_FOLLOWING,
         basis=Basis.PER_EVENT,
         budget=Budget.DISPATCHER_CPU,
-        counted=True,
     ),
     Requirement(
         DISPATCHER,
@@ -108,7 +112,6 @@
         REPLICA_FOLLOWING,
         basis=Basis.PER_EVENT,
         budget=Budget.DISPATCHER_CPU,
-        counted=True,
     ),
     Requirement(
         DISPATCHER,
@@ -130,7 +133,6 @@
         LOG_FOLLOWING,
         basis=Basis.PER_EVENT,
         budget=Budget.DISPATCHER_BYTES,
-        counted=True,
     ),
     Requirement(
         DISPATCHER,
@@ -302,6 +304,7 @@
         REPLICA_FAN_OUT,
         times=PURGE_RATE,
         budget=Budget.CONTROL_CPU,
+        counted=True,
     ),
     Requirement(
         CONTROL_REPLICA,
@@ -588,4 +591,5 @@
         PROXYING,
         times=REQUEST_RATE,
     ),
+    *REPLICA_REQUIREMENTS,
 )
--- a/hoistplank/lab/scale/tables.py
+++ b/hoistplank/lab/scale/tables.py
@@ -10,7 +10,8 @@
 from collections.abc import Callable, Sequence
 
 from hoistplank.lab.scale.measurements import Measurement
-from hoistplank.lab.scale.requirement_list import REQUIREMENTS, ROLES
+from hoistplank.lab.scale.requirement_list import REQUIREMENTS
+from hoistplank.lab.scale.requirement_names import ROLES
 from hoistplank.lab.scale.requirements import (
     Basis,
     BudgetSum,
--- a/tests/test_scale_slopes.py
+++ b/tests/test_scale_slopes.py
@@ -37,7 +37,8 @@
 )
 from hoistplank.lab.scale.metering import Effort, Step
 from hoistplank.lab.scale.page import page
-from hoistplank.lab.scale.requirement_list import PERCENT, REQUIREMENTS, ROLES
+from hoistplank.lab.scale.requirement_list import REQUIREMENTS
+from hoistplank.lab.scale.requirement_names import PERCENT, ROLES
 from hoistplank.lab.scale.requirements import (
     Basis,
     Count,
