--- a/hoistplank/distribution/assignment.py
+++ b/hoistplank/distribution/assignment.py
@@ -1,4 +1,4 @@
-"""Which control replica a dispatcher follows. Judgement: pure functions, chance is handed in.
+"""Which control replica a dispatcher follows. Decision logic: pure functions, chance is handed in.
 
 Rendezvous hashing over the replicas of the dispatcher's own region, then over the others: each dispatcher
 knows its order without asking anyone, and one that is lost leaves its dispatchers evenly to the rest. A
--- a/hoistplank/distribution/catch_up.py
+++ b/hoistplank/distribution/catch_up.py
@@ -1,5 +1,5 @@
 """Turns for catch-ups: how many at once, and how many bytes a second, so that a whole fleet that comes back
-at once is served in order. Judgement: no I/O, no clock; times are whole microseconds."""
+at once is served in order. Decision logic: no I/O, no clock; times are whole microseconds."""
 
 from __future__ import annotations
 
--- a/hoistplank/distribution/purge_table.py
+++ b/hoistplank/distribution/purge_table.py
@@ -1,8 +1,8 @@
 """The purges that a replica hands on: by object or bucket, forgotten in the order in which they were told.
 
-Judgement: no I/O, no clock; times are whole microseconds. A purge counts for a horizon from when it was last
-told here, not from when it was made: one that is heard an hour late begins to bind then. Beyond the bound,
-the longest told become one purge of all objects, which costs fills and never loses a purge.
+Decision logic: no I/O, no clock; times are whole microseconds. A purge counts for a horizon from when it
+was last told here, not from when it was made: one that is heard an hour late begins to bind then. Beyond
+the bound, the longest told become one purge of all objects, which costs fills and never loses a purge.
 """
 
 from __future__ import annotations
--- a/tests/test_scale_slopes.py
+++ b/tests/test_scale_slopes.py
@@ -37,7 +37,7 @@
 )
 from hoistplank.lab.scale.metering import Effort, Step
 from hoistplank.lab.scale.page import page
-from hoistplank.lab.scale.requirement_list import PERCENT, REQUIREMENTS, ROLES
+from hoistplank.lab.scale.requirement_list import REQUIREMENTS, ROLES
 from hoistplank.lab.scale.requirements import (
     Basis,
     Count,
@@ -49,6 +49,7 @@
     over_budget,
     sums,
 )
+from hoistplank.lab.scale.sizes import PERCENT
 from hoistplank.lab.scale.slopes import Form, TooFewSizes, fit, judge, t_quantile
 from hoistplank.lab.scale.target import TARGET, Budget
 
