--- /dev/null
+++ b/hoistplank/lab/scale/mechanisms.py
@@ -0,0 +1,30 @@
+"""What carries the figures of the page: mechanisms by their standard names, with their modules."""
+
+from __future__ import annotations
+
+from hoistplank.lab.scale.requirements import Mechanism
+
+LOG_FOLLOWING = Mechanism("replicated log, resumed by sequence number", "routing/listing.py")
+LOG_FAN_OUT = Mechanism("fan-out of the log, a cursor per follower", "standins/changelog.py")
+HOST_TABLE = Mechanism("full copy of the membership list", "choice.py")
+TOMBSTONES = Mechanism("tombstones with a horizon", "choice.py (`floors`)")
+OBJECT_TABLE = Mechanism("recency cache, 10 s idle expiry", "choice.py (`herds`)")
+REQUEST_TABLE = Mechanism("table of open requests, load shedding above it", "routing/owner.py")
+CONNECTION_POOL = Mechanism("connection pool", "transport/pool.py")
+FILE_RELOAD = Mechanism("local file and SIGHUP: **no transport**", "program/additions.py")
+XDS_RESOURCES = Mechanism("xDS: state of the world per resource", "xds/resources.py")
+XDS_STREAMS = Mechanism("xDS: subscription and acknowledgement per stream", "xds/follower.py")
+PROXYING = Mechanism("store and forward in one process", "routing/front.py")
+LOG_REPLAY = Mechanism(
+    "replay of every event, back-pressure per follower: **no compaction**", "standins/changelog.py"
+)
+LOG_STORAGE = Mechanism("log without retention", "standins/changelog.py")
+REPLICA_FAN_OUT = Mechanism("log replication with acknowledgements", "distribution/replica.py")
+REPLICA_STATE = Mechanism("log compaction, a catch-up by version", "distribution/state.py")
+REPLICA_TABLE = Mechanism("acknowledgement table", "distribution/acknowledgements.py")
+REPLICA_FOLLOWING = Mechanism("versions in force, never going back", "distribution/follower_state.py")
+REPLICA_ADMISSION = Mechanism("admission control of catch-ups", "distribution/catch_up.py")
+REPLICA_PEERS = Mechanism("acknowledgements exchanged between replicas", "distribution/peer_link.py")
+REPLICA_FOLLOWER = Mechanism("log replication with acknowledgements", "distribution/follower.py")
+REPLICA_CATCH_UP = Mechanism("log compaction, taken whole", "distribution/follower_state.py")
+RANKING = Mechanism("weighted rendezvous hashing", "choice.py (`_rank`)")
--- a/hoistplank/lab/scale/requirement_list_replica.py
+++ b/hoistplank/lab/scale/requirement_list_replica.py
@@ -1,55 +1,47 @@
-"""The requirements of the fleet ahead on distribution through control replicas: at a replica, and at a
-dispatcher that follows one."""
+"""The requirements of the fleet ahead on distribution through control replicas, beside the fan-out of purges
+and the replica's tables: at a replica, and at a dispatcher that follows one."""
 
 from __future__ import annotations
 
-from math import ceil
-
-from hoistplank.lab.scale.requirement_names import (
-    CONTROL_REPLICA,
-    DISPATCHER,
+from hoistplank.lab.scale.mechanisms import (
+    REPLICA_ADMISSION,
+    REPLICA_CATCH_UP,
+    REPLICA_FAN_OUT,
+    REPLICA_FOLLOWER,
+    REPLICA_PEERS,
+)
+from hoistplank.lab.scale.requirements import Basis, Count, Requirement
+from hoistplank.lab.scale.roles import CONTROL_REPLICA, DISPATCHER
+from hoistplank.lab.scale.sizes import (
+    BURST_RATE,
+    DAY_RATE,
+    HOUR,
     KILOBYTES_A_SECOND,
     MILLISECONDS,
     PERCENT,
+    PURGE_RATE,
+    SHARE,
+    SHARE_WITHIN,
+    WITHIN,
 )
-from hoistplank.lab.scale.requirements import Basis, Count, Mechanism, Requirement
 from hoistplank.lab.scale.target import TARGET, Budget
 
-REPLICATION = Mechanism("log replication with acknowledgements", "distribution/replica.py")
-ADMISSION = Mechanism("log compaction, admission control of catch-ups", "distribution/catch_up.py")
-PEER_EXCHANGE = Mechanism("acknowledgements exchanged between replicas", "distribution/peer_link.py")
-FOLLOWING = Mechanism("log replication with acknowledgements", "distribution/follower.py")
-CATCHING_UP = Mechanism("log compaction, catch-up taken whole", "distribution/follower_state.py")
-
-# Sizes.
-_own = ceil(TARGET.dispatchers / TARGET.control_machines)
-_own_one_lost = ceil(TARGET.dispatchers / (TARGET.control_machines - 1))
-_hour = TARGET.purges_per_hour
+_quarter = TARGET.dispatchers / (TARGET.control_machines - 1)
 _peers = TARGET.control_machines - 1
-OWN = Count(_own, f"{_own} followers")
-OWN_ONE_LOST = Count(_own_one_lost, f"{_own_one_lost} followers (one replica lost)")
-HOUR_MISSED = Count(_hour, f"{_hour:,.0f} purges missed (an hour)")
+SHARE_ONE_LOST = Count(_quarter, f"{_quarter:.0f} dispatchers (one replica lost)")
 ONE_SECOND = Count(1, "a second")
-
-# Rates, and shares of the time that a catch-up may take.
-PURGE_RATE = Count(TARGET.purges_per_s, f"{TARGET.purges_per_s:g} purges/s")
-DAY_RATE = Count(TARGET.changes_per_s, f"{TARGET.changes_per_s:.4f} changes/s (day)")
-BURST_RATE = Count(TARGET.burst_changes_per_s, f"{TARGET.burst_changes_per_s:g} change/s (burst)")
 # A row changes with each acknowledgement: each purge brings one, each second brings one more.
-ROW_RATE = Count(
-    (TARGET.purges_per_s + 1) * _peers, f"{TARGET.purges_per_s + 1:g} acknowledgements/s × {_peers} peers"
-)
-WITHIN = Count(1 / TARGET.change_within_s, f"within {TARGET.change_within_s:g} s")
-OWN_WITHIN = Count(_own / TARGET.change_within_s, f"{_own} followers within {TARGET.change_within_s:g} s")
+_acknowledgements = TARGET.purges_per_s + 1
+ROW_RATE = Count(_acknowledgements * _peers, f"{_acknowledgements:g} acknowledgements/s × {_peers} peers")
 
 _AT_REPLICA = (
     Requirement(
         CONTROL_REPLICA,
         "purges handed on and acknowledged, one replica lost",
         "processor time of an event",
-        OWN_ONE_LOST,
+        SHARE_ONE_LOST,
         PERCENT,
-        REPLICATION,
+        REPLICA_FAN_OUT,
         times=PURGE_RATE,
         budget=Budget.CONTROL_CPU,
     ),
@@ -57,9 +49,9 @@
         CONTROL_REPLICA,
         "heartbeats, both ways",
         "processor time of a second of heartbeats",
-        OWN,
+        SHARE,
         PERCENT,
-        REPLICATION,
+        REPLICA_FAN_OUT,
         budget=Budget.CONTROL_CPU,
         counted=True,
     ),
@@ -67,9 +59,9 @@
         CONTROL_REPLICA,
         "a day's configurations",
         "processor time of a configuration",
-        OWN,
+        SHARE,
         PERCENT,
-        REPLICATION,
+        REPLICA_FAN_OUT,
         times=DAY_RATE,
         budget=Budget.CONTROL_CPU,
         counted=True,
@@ -78,9 +70,9 @@
         CONTROL_REPLICA,
         "a burst of configurations, one replica lost",
         "processor time of a configuration",
-        OWN_ONE_LOST,
+        SHARE_ONE_LOST,
         PERCENT,
-        REPLICATION,
+        REPLICA_FAN_OUT,
         times=BURST_RATE,
         budget=Budget.CONTROL_CPU,
     ),
@@ -88,9 +80,9 @@
         CONTROL_REPLICA,
         "rows told to peers, one a change",
         "processor time of rows told to a peer",
-        OWN,
+        SHARE,
         PERCENT,
-        PEER_EXCHANGE,
+        REPLICA_PEERS,
         times=ROW_RATE,
         budget=Budget.CONTROL_CPU,
         counted=True,
@@ -99,9 +91,9 @@
         CONTROL_REPLICA,
         "rows taken from peers, one a change",
         "processor time of rows taken from a peer",
-        OWN,
+        SHARE,
         PERCENT,
-        PEER_EXCHANGE,
+        REPLICA_PEERS,
         times=ROW_RATE,
         budget=Budget.CONTROL_CPU,
         counted=True,
@@ -110,27 +102,27 @@
         CONTROL_REPLICA,
         "bytes of rows told to peers",
         "bytes of rows to a peer",
-        OWN,
+        SHARE,
         KILOBYTES_A_SECOND,
-        PEER_EXCHANGE,
+        REPLICA_PEERS,
         times=ROW_RATE,
     ),
     Requirement(
         CONTROL_REPLICA,
         "bytes of a burst of configurations to its followers",
         "bytes of a configuration",
-        OWN,
+        SHARE,
         KILOBYTES_A_SECOND,
-        REPLICATION,
+        REPLICA_FAN_OUT,
         times=BURST_RATE,
     ),
     Requirement(
         CONTROL_REPLICA,
         "catch-up of all its followers after an hour",
         "processor time of catch-ups after an hour",
-        OWN,
+        SHARE,
         PERCENT,
-        ADMISSION,
+        REPLICA_ADMISSION,
         times=WITHIN,
         budget=Budget.CONTROL_CPU,
     ),
@@ -138,18 +130,18 @@
         CONTROL_REPLICA,
         "catch-up of one follower after an hour",
         "processor time of one follower's catch-up",
-        HOUR_MISSED,
+        HOUR,
         MILLISECONDS,
-        ADMISSION,
+        REPLICA_ADMISSION,
     ),
     Requirement(
         CONTROL_REPLICA,
         "bytes of that catch-up, all its followers",
         "bytes of one follower's catch-up",
-        HOUR_MISSED,
+        HOUR,
         KILOBYTES_A_SECOND,
-        ADMISSION,
-        times=OWN_WITHIN,
+        REPLICA_ADMISSION,
+        times=SHARE_WITHIN,
     ),
 )
 
@@ -160,7 +152,7 @@
         "processor time of a replica's purges, each acknowledged",
         PURGE_RATE,
         PERCENT,
-        FOLLOWING,
+        REPLICA_FOLLOWER,
         basis=Basis.PER_EVENT,
         budget=Budget.DISPATCHER_CPU,
         counted=True,
@@ -171,7 +163,7 @@
         "processor time of heartbeats and acknowledgements",
         ONE_SECOND,
         PERCENT,
-        FOLLOWING,
+        REPLICA_FOLLOWER,
         basis=Basis.PER_EVENT,
         budget=Budget.DISPATCHER_CPU,
         counted=True,
@@ -182,7 +174,7 @@
         "bytes of a replica's purges",
         PURGE_RATE,
         KILOBYTES_A_SECOND,
-        FOLLOWING,
+        REPLICA_FOLLOWER,
         basis=Basis.PER_EVENT,
         budget=Budget.DISPATCHER_BYTES,
         counted=True,
@@ -193,7 +185,7 @@
         "bytes of acknowledgements of purges",
         PURGE_RATE,
         KILOBYTES_A_SECOND,
-        FOLLOWING,
+        REPLICA_FOLLOWER,
         basis=Basis.PER_EVENT,
         budget=Budget.DISPATCHER_BYTES,
         counted=True,
@@ -204,7 +196,7 @@
         "bytes of heartbeats and acknowledgements",
         ONE_SECOND,
         KILOBYTES_A_SECOND,
-        FOLLOWING,
+        REPLICA_FOLLOWER,
         basis=Basis.PER_EVENT,
         budget=Budget.DISPATCHER_BYTES,
         counted=True,
@@ -213,9 +205,9 @@
         DISPATCHER,
         "replica: processor time of an hour's catch-up",
         "processor time of a catch-up from a replica",
-        HOUR_MISSED,
+        HOUR,
         PERCENT,
-        CATCHING_UP,
+        REPLICA_CATCH_UP,
         times=WITHIN,
         budget=Budget.DISPATCHER_CPU,
     ),
@@ -223,9 +215,9 @@
         DISPATCHER,
         "replica: bytes of an hour's catch-up, each purge of another object",
         "bytes of a catch-up from a replica",
-        HOUR_MISSED,
+        HOUR,
         KILOBYTES_A_SECOND,
-        CATCHING_UP,
+        REPLICA_CATCH_UP,
         times=WITHIN,
         budget=Budget.DISPATCHER_BYTES,
     ),
@@ -233,9 +225,9 @@
         DISPATCHER,
         "replica: bytes of an hour's catch-up, popular objects purged again",
         "bytes of a catch-up from a replica, popular objects purged again",
-        HOUR_MISSED,
+        HOUR,
         KILOBYTES_A_SECOND,
-        CATCHING_UP,
+        REPLICA_CATCH_UP,
         times=WITHIN,
         budget=Budget.DISPATCHER_BYTES,
     ),
--- a/hoistplank/lab/scale/tables.py
+++ b/hoistplank/lab/scale/tables.py
@@ -11,7 +11,6 @@
 
 from hoistplank.lab.scale.measurements import Measurement
 from hoistplank.lab.scale.requirement_list import REQUIREMENTS
-from hoistplank.lab.scale.requirement_names import ROLES
 from hoistplank.lab.scale.requirements import (
     Basis,
     BudgetSum,
@@ -21,6 +20,7 @@
     over_budget,
     sums,
 )
+from hoistplank.lab.scale.roles import ROLES
 from hoistplank.lab.scale.slopes import Fit, judge
 
 PLACE = re.compile(r"<!-- table: ([^>]+?) -->\n(.*?)<!-- end of table -->", re.DOTALL)
--- a/tests/test_scale_slopes.py
+++ b/tests/test_scale_slopes.py
@@ -38,7 +38,6 @@
 from hoistplank.lab.scale.metering import Effort, Step
 from hoistplank.lab.scale.page import page
 from hoistplank.lab.scale.requirement_list import REQUIREMENTS
-from hoistplank.lab.scale.requirement_names import PERCENT, ROLES
 from hoistplank.lab.scale.requirements import (
     Basis,
     Count,
@@ -50,6 +49,8 @@
     over_budget,
     sums,
 )
+from hoistplank.lab.scale.roles import ROLES
+from hoistplank.lab.scale.sizes import PERCENT
 from hoistplank.lab.scale.slopes import Form, TooFewSizes, fit, judge, t_quantile
 from hoistplank.lab.scale.target import TARGET, Budget
 
