Distribution: a connection's lines in request_connection.py, one way to connect in transport/connecting.py

replica.py held two classes; peer_link.py and follower.py connected each for itself. No change of behaviour.

--- a/hoistplank/distribution/follower.py
+++ b/hoistplank/distribution/follower.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import asyncio
-import socket
 from collections.abc import Sequence
 from dataclasses import dataclass
 from functools import partial
@@ -39,6 +38,7 @@
 from hoistplank.protocol.errors import BadBytes
 from hoistplank.routing.listing import CONNECT_S, FIRST_PAUSE_S, Hearer, Listing
 from hoistplank.routing.owner import Applied, Listed
+from hoistplank.transport.connecting import connected
 from hoistplank.transport.connection import Consume
 
 log = structlog.get_logger()
@@ -295,12 +295,9 @@
 
 async def _is_there(address: tuple[str, int]) -> bool:
     """Whether somebody takes connections there."""
-    loop = asyncio.get_running_loop()
     try:
-        with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as sock:
-            sock.setblocking(False)
-            async with asyncio.timeout(CONNECT_S):
-                await loop.sock_connect(sock, address)
+        sock = await connected(address, CONNECT_S)
     except (OSError, ValueError):
         return False
+    sock.close()
     return True
--- a/hoistplank/distribution/peer_link.py
+++ b/hoistplank/distribution/peer_link.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import socket
 from random import Random
 from typing import Protocol
 
@@ -21,6 +20,7 @@
     encode,
 )
 from hoistplank.protocol.errors import BadBytes
+from hoistplank.transport.connecting import connected
 from hoistplank.transport.connection import Connection, Consume
 
 log = structlog.get_logger()
@@ -92,22 +92,14 @@
             pause = min(LONGEST_PAUSE_S, pause * 2)
 
     async def _follow(self) -> object:
-        loop = asyncio.get_running_loop()
-        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        sock.setblocking(False)
         try:
-            async with asyncio.timeout(CONNECT_S):
-                await loop.sock_connect(sock, self.peer.address)
+            sock = await connected(self.peer.address, CONNECT_S)
         except (OSError, ValueError) as wrong:
-            sock.close()
             return wrong
-        except BaseException:
-            sock.close()
-            raise
         connection = Connection(sock, self._consumer(), MOST_REQUEST_LINE * 2, MOST_OUT)
         connection.send(encode(RequestLine(report=Report(self.replica.name))))
         self.connection = connection
-        task = loop.create_task(connection.run(), name=f"peer {self.peer.name}")
+        task = asyncio.create_task(connection.run(), name=f"peer {self.peer.name}")
         try:
             return await self._watch(connection, task)
         finally:
--- a/hoistplank/distribution/replica.py
+++ b/hoistplank/distribution/replica.py
@@ -23,22 +23,16 @@
 from hoistplank.distribution.assignment import may_accept
 from hoistplank.distribution.catch_up import CatchUpQueue
 from hoistplank.distribution.dispatcher_session import DispatcherSession, Phase
-from hoistplank.distribution.lines import LineReader
 from hoistplank.distribution.log_follower import LogFollower
 from hoistplank.distribution.messages import (
-    MOST_REQUEST_LINE,
     Follow,
     InForce,
-    Redirect,
-    ReplicaLine,
     ReplicatedEvent,
-    Report,
     StatusRequest,
     VersionFields,
-    encode,
-    read_request,
 )
 from hoistplank.distribution.peer_link import PeerLink, PeerSession
+from hoistplank.distribution.request_connection import RequestConnection
 from hoistplank.distribution.state import ReplicatedState
 from hoistplank.distribution.status import Load, PeerRow, StatusAnswer, UnheardRow, change_row
 from hoistplank.distribution.versions import Version
@@ -46,7 +40,6 @@
 from hoistplank.routing.clock import Clock
 from hoistplank.routing.complaints import Complaints
 from hoistplank.routing.listing import SILENT_S
-from hoistplank.transport.connection import Connection
 from hoistplank.transport.ledger import Ledger
 from hoistplank.transport.listener import Listener
 
@@ -60,9 +53,6 @@
 RETENTION_US = 86_400_000_000  # for so long a dispatcher that has gone is missed by name
 MOST_DESCRIPTORS = 8_192
 MOST_UNREADABLE = 64  # configurations of which it is kept why they can't be read
-# A connection on which nothing comes for so long ends; peers, who ask once, are given up once stuck.
-SILENT_CONNECTION_S = 30.0
-MOST_OUT = 65_536  # bytes waiting for a peer before nothing more is read from it
 
 
 @dataclass(frozen=True)
@@ -80,67 +70,6 @@
     queue: Callable[[], CatchUpQueue[DispatcherSession]] = field(default=CatchUpQueue)
 
 
-class RequestConnection:
-    """One connection to this replica: its first line says whose it is."""
-
-    def __init__(self, replica: Replica, sock: socket.socket) -> None:
-        self.replica = replica
-        self.reader = LineReader(MOST_REQUEST_LINE)
-        self.dispatcher: DispatcherSession | None = None
-        self.peer: PeerSession | None = None
-        self.connection = Connection(sock, self._consume, 2 * MOST_REQUEST_LINE, MOST_OUT)
-        self.task = asyncio.get_running_loop().create_task(self.connection.run(), name="replica connection")
-        self.task.add_done_callback(self._ended)
-
-    def _consume(self, buffer: bytearray, start: int, end: int) -> int:
-        start, lines = self.reader.read(buffer, start, end)
-        for line in lines:
-            self._asked(read_request(line))
-        return start
-
-    def _asked(self, request: Follow | InForce | Report | StatusRequest) -> None:
-        if isinstance(request, StatusRequest):
-            self.connection.send(encode(self.replica.status(request)))
-        elif isinstance(request, InForce):
-            self._acknowledged(request)
-        elif self.dispatcher is not None or self.peer is not None:
-            raise BadBytes("a connection says a second time whose it is")
-        elif isinstance(request, Follow):
-            self._followed(request)
-        else:
-            self.peer = PeerSession(self.replica, self.connection, request)
-            self.replica.peer_sessions[self.peer] = None
-            self.peer.send_changes()
-            self.peer.send_alive()
-
-    def _followed(self, follow: Follow) -> None:
-        refused = self.replica.refuses(follow)
-        if refused:
-            log.info("dispatcher sent on", peer=follow.dispatcher, why=refused)
-            self.connection.send(encode(ReplicaLine(redirect=Redirect(refused))))
-            self.connection.finish()
-            return
-        self.dispatcher = DispatcherSession(self.replica, self.connection, follow)
-        self.replica.accept(self.dispatcher)
-
-    def _acknowledged(self, in_force: InForce) -> None:
-        if self.dispatcher is None:
-            raise BadBytes("an acknowledgement comes before 'follow'")
-        self.replica.acknowledged(self.dispatcher, in_force)
-
-    def is_lost(self) -> bool:
-        """Whether its other side counts as gone: a machine that is cut off closes nothing."""
-        silent_s = asyncio.get_running_loop().time() - self.connection.heard_at
-        is_silent = self.peer is None and silent_s > SILENT_CONNECTION_S
-        return is_silent or self.connection.is_stuck()
-
-    def _ended(self, task: asyncio.Task[BaseException | None]) -> None:
-        wrong = None if task.cancelled() else task.result()
-        if wrong is not None and not isinstance(wrong, OSError):
-            self.replica.complaints.tell("connection ended", wrong=str(wrong))
-        self.replica.gone(self)
-
-
 class Replica:
     """One control replica; `run` serves until it is cancelled."""
 
