--- a/deploy/scale/fleet.sexp
+++ b/deploy/scale/fleet.sexp
@@ -6,7 +6,7 @@
   (zones 11)
   (regions 5)
   (hosts 180)
-  (processes 4)
+  (processes 6)
   (seconds 560s)
   (purges 3.9/s)
   (zipf 1.2)
@@ -23,8 +23,10 @@
   (at 140s (machines 4 for 10s))
   (at 165s (rack 0.05 for 15s))
   (at 200s (zone z3 for 20s))
-  (at 240s (restart within 60s))
-  (at 320s (renew-log))
+  (at 228s (replica for 8s))
+  (at 245s (restart within 60s))
+  (at 325s (renew-log))
   (at 350s (stall for 60s))
-  ; An hour's worth of events while two regions hear nothing.
-  (at 440s (apart 2 for 60s pace 60x)))
+  ; Two regions lose each other for an hour, played at 60 times the pace. The source stands in one of them: the
+  ; other's dispatchers hear nothing.
+  (at 440s (apart 1 for 60s pace 60x)))
