--- a/hoistplank/distribution/follower.py
+++ b/hoistplank/distribution/follower.py
@@ -45,6 +45,8 @@
 ACKNOWLEDGE_S = 0.05  # acknowledgements are no closer together
 HEARTBEAT_S = 1.0  # nor further apart
 LOOK_S = 0.25
+# Danger: who is refused for load by the replica that it prefers would leave another each minute for nothing.
+REDIRECTED_S = 120.0
 HALTED_S = 1.0  # a line of a megabyte from another region may stall for a retransmission
 
 
@@ -87,6 +89,7 @@
         self.place = 0  # in the order, of the replica that is followed or tried
         self.epoch = 0
         self.behind_lines = 0  # heartbeats and events older than what is held
+        self._redirected_at: dict[str, float] = {}  # by replica: when it last did not take this dispatcher
         self._began_us = owner.clock.now()
         self._is_warned = False  # that nobody is heard has been logged
         self._acknowledged_at = 0.0
@@ -280,6 +283,8 @@
             following.cancel()
             await asyncio.gather(following, return_exceptions=True)
         wrong = following.exception() or following.result()
+        if isinstance(wrong, Redirected):
+            self._redirected_at[self.replica.name] = self.loop.time()
         self.complaints.tell(
             "control replica lost", replica=self.replica.name, wrong=str(wrong), told=str(self.state.told)
         )
@@ -287,6 +292,9 @@
 
     async def _is_preferred_back(self) -> bool:
         for replica in self.order[: self.place]:
+            redirected_at = self._redirected_at.get(replica.name, -REDIRECTED_S)
+            if self.loop.time() - redirected_at < REDIRECTED_S:
+                continue
             if await _is_there(replica.address):
                 log.info("back to a control replica", replica=replica.name, before=self.replica.name)
                 return True
--- a/tests/test_distribution.py
+++ b/tests/test_distribution.py
@@ -523,6 +523,7 @@
 
     async def scene() -> None:
         monkeypatch.setattr("hoistplank.distribution.follower.return_delay_us", lambda chance: 200_000)
+        monkeypatch.setattr("hoistplank.distribution.follower.REDIRECTED_S", 0.5)
         async with Rig(replicas) as rig:
             rig.hosts(1, whole=True, a="ready")
             await until(lambda: all(replica.log_follower.is_read() for replica in rig.replicas))
