--- a/tests/test_distribution.py
+++ b/tests/test_distribution.py
@@ -16,9 +16,11 @@
 from hoistplank.distribution.assignment import Replica as ReplicaAddress
 from hoistplank.distribution.assignment import load_bound
 from hoistplank.distribution.dispatcher_session import MOST_WAITING
+from hoistplank.distribution.lines import LineReader
 from hoistplank.distribution.messages import Follow, InForce, RequestLine, VersionFields, encode
 from hoistplank.distribution.versions import NOTHING, Version
 from hoistplank.protocol.changelog import Event, Fleet, Known, Target
+from hoistplank.protocol.errors import BadBytes
 from hoistplank.routing.owner import Applied, Listed
 from hoistplank.standins.changelog import ChangeLog
 from hoistplank.standins.settings import listing, target
@@ -546,3 +548,32 @@
             await until(lambda: all(one.in_force == at(3) for one in each), patience_s=20)
 
     run(scene())
+
+
+def test_a_replica_that_stood_still_trusts_no_line_that_waited() -> None:
+    async def scene() -> None:
+        async with Rig(replicas=1) as rig:
+            rig.hosts(1, whole=True, a="ready")
+            replica = rig.replicas[0]
+            await until(replica.log_follower.is_read)
+            assert replica.is_log_heard()
+            replica.clock.ahead += 60_000_000_000  # a minute, in which this process did not run
+            rig.purge(2, "ab")
+            assert not replica.is_log_heard()
+            await until(lambda: replica.state.version == at(2))
+            assert not replica.is_log_heard(), "what waited in the buffer says nothing of now"
+            await until(replica.is_log_heard)
+
+    run(scene())
+
+
+@pytest.mark.parametrize("cut", range(18))
+def test_lines_cut_anywhere(cut: int) -> None:
+    reader, data = LineReader(8), b'{"a":1}\n\n \n{"b":2}'
+    buffer, found, start = bytearray(data + b"\n"), list[bytes](), 0
+    for end in (cut, len(buffer)):
+        start, lines = reader.read(buffer, start, end)
+        found += lines
+    assert found == [b'{"a":1}', b'{"b":2}'] and start == len(buffer)
+    with pytest.raises(BadBytes, match="longer than 8 bytes"):
+        reader.read(bytearray(b"x" * 9), 0, 9)
