CAPACITY: a configuration's carrier is the distribution's, and its check counts as such

The operator's rows named the local file and SIGHUP, which stopped being the only way when the distribution landed.

--- a/hoistplank/lab/scale/mechanisms.py
+++ b/hoistplank/lab/scale/mechanisms.py
@@ -11,7 +11,9 @@
 OBJECT_TABLE = Mechanism("recency cache, 10 s idle expiry", "choice.py (`herds`)")
 REQUEST_TABLE = Mechanism("table of open requests, load shedding above it", "routing/owner.py")
 CONNECTION_POOL = Mechanism("connection pool", "transport/pool.py")
-FILE_RELOAD = Mechanism("local file and SIGHUP: **no transport**", "program/additions.py")
+CONFIGURATION = Mechanism(
+    "versioned configuration, checked whole before it is taken", "distribution/configuration_taker.py"
+)
 XDS_RESOURCES = Mechanism("xDS: state of the world per resource", "xds/resources.py")
 XDS_STREAMS = Mechanism("xDS: subscription and acknowledgement per stream", "xds/follower.py")
 PROXYING = Mechanism("store and forward in one process", "routing/front.py")
