--- a/hoistplank/lab/scale/log_process.py
+++ b/hoistplank/lab/scale/log_process.py
@@ -1,8 +1,8 @@
 """The stand-in change log in a process of its own: `python -m hoistplank.lab.scale.log_process`.
 
-Commands come as lines on standard input, answers go out as lines of JSON: `fill N` puts N purges into the log
-before anyone is told, `tell N GAP` tells N purges so many seconds apart, `usage` only answers. Each answer
-is a `Usage` of this process. It ends with its standard input.
+Commands come as lines on standard input, answers go out as lines of JSON: `list N` tells a whole list of N
+hosts, `fill N` puts N purges into the log before anyone is told, `tell N GAP` tells N purges so many seconds
+apart, `usage` only answers. Each answer is a `Usage` of this process. It ends with its standard input.
 """
 
 from __future__ import annotations
@@ -18,6 +18,7 @@
 import uvloop
 
 from hoistplank.standins.changelog import ChangeLog
+from hoistplank.standins.settings import listing, target
 from hoistplank.standins.wire import serve
 
 PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
@@ -58,6 +59,10 @@
         if words[0] == "fill":
             for _ in range(int(words[1])):
                 self.log.log.append(self.purge())
+        elif words[0] == "list":
+            self.seq += 1
+            rows = [target(f"box-{number}", "box", 10_000 + number) for number in range(int(words[1]))]
+            self.log.tell(listing(self.seq, rows, whole=True))
         elif words[0] == "tell":
             for _ in range(int(words[1])):
                 self.log.tell(self.purge())
--- a/hoistplank/lab/scale/requirements.py
+++ b/hoistplank/lab/scale/requirements.py
@@ -1,7 +1,7 @@
 """What the fleet ahead asks of each role: a slope, the size it is taken at, its budget and what carries it.
 
-Judgement: measurements in, figures out. A figure's value is `slope * size * times`, converted to the unit
-of its budget. The fleet's own requirements stand in `requirement_list`.
+Decision logic: measurements in, figures out. A figure's value is `slope * size * times`, converted to the
+unit of its budget. The fleet's own requirements stand in `requirement_list`.
 """
 
 from __future__ import annotations
