--- a/hoistplank/lab/scale/requirement_list.py
+++ b/hoistplank/lab/scale/requirement_list.py
@@ -2,83 +2,72 @@
 
 from __future__ import annotations
 
-from math import ceil
-
-from hoistplank.lab.scale.requirements import Basis, Count, Mechanism, Requirement, Unit
-from hoistplank.lab.scale.target import SECONDS_A_DAY, TARGET, Budget
-
-DISPATCHER, CHANGE_LOG, CONTROL_SERVICE = "dispatcher", "change log", "control service"
-OPERATOR, CACHE_HOST, DATA_PATH = "operator", "cache host", "data path"
-ROLES = (DISPATCHER, CHANGE_LOG, CONTROL_SERVICE, OPERATOR, CACHE_HOST, DATA_PATH)
-
-# What a configuration holds is not told: so many tenants, some 30 KB, are an assumption of the page.
-TENANTS_ASSUMED = 200
-XDS_WINDOW_S = 60
-OBJECT_KEPT_S = 10
-LONGEST_DEADLINE_S = 2.5
-MOST_FOLLOWED_NAMES = 100_000
-LARGEST_ANSWER_BYTES = 240_000
-
-PERCENT = Unit("% of a core", 1e-4)  # from microseconds in a second
-MILLISECONDS = Unit("ms", 1e-3)
-KILOBYTES = Unit("KB", 1e-3)
-KILOBYTES_A_SECOND = Unit("KB/s", 1e-3)
-MEGABYTES = Unit("MB", 1e-6)
-DESCRIPTORS = Unit("descriptors", 1.0)
-
-LOG_FOLLOWING = Mechanism("replicated log, resumed by sequence number", "routing/listing.py")
-LOG_FAN_OUT = Mechanism("fan-out of the log, a cursor per follower", "standins/changelog.py")
-HOST_TABLE = Mechanism("full copy of the membership list", "choice.py")
-TOMBSTONES = Mechanism("tombstones with a horizon", "choice.py (`floors`)")
-OBJECT_TABLE = Mechanism("recency cache, 10 s idle expiry", "choice.py (`herds`)")
-REQUEST_TABLE = Mechanism("table of open requests, load shedding above it", "routing/owner.py")
-CONNECTION_POOL = Mechanism("connection pool", "transport/pool.py")
-FILE_RELOAD = Mechanism("local file and SIGHUP: **no transport**", "program/additions.py")
-XDS_RESOURCES = Mechanism("xDS: state of the world per resource", "xds/resources.py")
-XDS_STREAMS = Mechanism("xDS: subscription and acknowledgement per stream", "xds/follower.py")
-PROXYING = Mechanism("store and forward in one process", "routing/front.py")
-LOG_REPLAY = Mechanism(
-    "replay of every event, back-pressure per follower: **no compaction**", "standins/changelog.py"
+from hoistplank.lab.scale.mechanisms import (
+    CONFIGURATION,
+    CONNECTION_POOL,
+    HOST_TABLE,
+    LOG_FAN_OUT,
+    LOG_FOLLOWING,
+    LOG_REPLAY,
+    LOG_STORAGE,
+    OBJECT_TABLE,
+    PROXYING,
+    RANKING,
+    REPLICA_FAN_OUT,
+    REPLICA_FOLLOWING,
+    REPLICA_STATE,
+    REPLICA_TABLE,
+    REQUEST_TABLE,
+    TOMBSTONES,
+    XDS_RESOURCES,
+    XDS_STREAMS,
 )
-LOG_STORAGE = Mechanism("log without retention", "standins/changelog.py")
-RANKING = Mechanism("weighted rendezvous hashing", "choice.py (`_rank`)")
-
-# Sizes.
-_hour = TARGET.purges_per_hour
-_day = TARGET.purges_per_s * SECONDS_A_DAY
-_window = TARGET.purges_per_s * XDS_WINDOW_S
-_requests = TARGET.requests_per_dispatcher
-_objects = _requests * OBJECT_KEPT_S
-_open = _requests * LONGEST_DEADLINE_S
-HOSTS = Count(TARGET.hosts, f"{TARGET.hosts} hosts")
-FLEET = Count(TARGET.dispatchers, f"{TARGET.dispatchers} dispatchers")
-FOLLOWERS = Count(TARGET.dispatchers, f"{TARGET.dispatchers} followers")
-HOUR = Count(_hour, f"{_hour:,.0f} purges (an hour)")
-DAY = Count(_day, f"{_day:,.0f} events (a day)")
-EVENTS_HELD = Count(_hour, f"{_hour:,.0f} events held (an hour)")
-PURGES_KEPT_HOUR = Count(_hour, f"{_hour:,.0f} purges kept")
-PURGES_KEPT_WINDOW = Count(_window, f"{_window:.0f} purges kept")
-OBJECTS = Count(_objects, f"{_objects:,.0f} objects ({OBJECT_KEPT_S} s of requests)")
-OPEN = Count(_open, f"{_open:,.0f} requests ({LONGEST_DEADLINE_S:g} s)")
-NAMES = Count(MOST_FOLLOWED_NAMES, f"{MOST_FOLLOWED_NAMES:,} names")
-TENANTS = Count(TENANTS_ASSUMED, f"{TENANTS_ASSUMED} tenants (assumed)")
-LARGEST_ANSWER = Count(LARGEST_ANSWER_BYTES, f"{LARGEST_ANSWER_BYTES:,} bytes an answer")
-MEAN_ANSWER = Count(TARGET.answer_bytes, f"{TARGET.answer_bytes:,.0f} bytes an answer")
-_parts = ceil(TARGET.answer_bytes / LARGEST_ANSWER_BYTES)
-_part_bytes = TARGET.answer_bytes / _parts
-PART_OF_ANSWER = Count(_part_bytes, f"{_part_bytes:,.0f} bytes an answer")
-
-# Rates, and shares of the time that a catch-up may take.
-_within = f"within {TARGET.change_within_s:g} s"
-PURGE_RATE = Count(TARGET.purges_per_s, f"{TARGET.purges_per_s:g} purges/s")
-LIST_RATE = Count(TARGET.list_events_per_s, f"{TARGET.list_events_per_s:.4f} list events/s")
-DAY_RATE = Count(TARGET.changes_per_s, f"{TARGET.changes_per_s:.4f} changes/s (day)")
-BURST_RATE = Count(TARGET.burst_changes_per_s, f"{TARGET.burst_changes_per_s:g} change/s (burst)")
-PART_RATE = Count(_requests * _parts, f"{_requests * _parts:,.0f} requests/s")
-REQUEST_RATE = Count(_requests, f"{_requests:.0f} requests/s")
-FLEET_PURGE_RATE = Count(TARGET.dispatchers * TARGET.purges_per_s, f"{FLEET.text} × {PURGE_RATE.text}")
-WITHIN = Count(1 / TARGET.change_within_s, _within)
-FLEET_WITHIN = Count(TARGET.dispatchers / TARGET.change_within_s, f"{FLEET.text} {_within}")
+from hoistplank.lab.scale.requirement_list_replica import REPLICA_REQUIREMENTS
+from hoistplank.lab.scale.requirements import Basis, Requirement
+from hoistplank.lab.scale.roles import (
+    CACHE_HOST,
+    CHANGE_LOG,
+    CONTROL_REPLICA,
+    CONTROL_SERVICE,
+    DATA_PATH,
+    DISPATCHER,
+    OPERATOR,
+)
+from hoistplank.lab.scale.sizes import (
+    BURST_RATE,
+    DAY,
+    DAY_RATE,
+    DESCRIPTORS,
+    EVENTS_HELD,
+    FLEET,
+    FLEET_PURGE_RATE,
+    FLEET_WITHIN,
+    FOLLOWERS,
+    HOSTS,
+    HOUR,
+    KILOBYTES,
+    KILOBYTES_A_SECOND,
+    LARGEST_ANSWER,
+    LIST_RATE,
+    MEAN_ANSWER,
+    MEGABYTES,
+    MILLISECONDS,
+    NAMES,
+    OBJECTS,
+    OPEN,
+    PART_OF_ANSWER,
+    PART_RATE,
+    PERCENT,
+    PURGE_RATE,
+    PURGES_KEPT_HOUR,
+    PURGES_KEPT_WINDOW,
+    REQUEST_RATE,
+    SHARE,
+    SHARE_WITHIN,
+    TENANTS,
+    WITHIN,
+)
+from hoistplank.lab.scale.target import Budget
 
 REQUIREMENTS: tuple[Requirement, ...] = (
     Requirement(
@@ -90,7 +79,16 @@
         LOG_FOLLOWING,
         basis=Basis.PER_EVENT,
         budget=Budget.DISPATCHER_CPU,
-        counted=True,
+    ),
+    Requirement(
+        DISPATCHER,
+        "judging and acknowledging purges of a replica",
+        "processor time of a replica's purges judged",
+        PURGE_RATE,
+        PERCENT,
+        REPLICA_FOLLOWING,
+        basis=Basis.PER_EVENT,
+        budget=Budget.DISPATCHER_CPU,
     ),
     Requirement(
         DISPATCHER,
@@ -112,7 +110,6 @@
         LOG_FOLLOWING,
         basis=Basis.PER_EVENT,
         budget=Budget.DISPATCHER_BYTES,
-        counted=True,
     ),
     Requirement(
         DISPATCHER,
@@ -275,6 +272,106 @@
     ),
     Requirement(CHANGE_LOG, "memory of a day's events", "memory of events held", DAY, MEGABYTES, LOG_STORAGE),
     Requirement(CHANGE_LOG, "descriptors", "descriptors", FLEET, DESCRIPTORS, LOG_FAN_OUT),
+    Requirement(
+        CONTROL_REPLICA,
+        "purges to a fifth of the fleet, acknowledged",
+        "processor time of an event",
+        SHARE,
+        PERCENT,
+        REPLICA_FAN_OUT,
+        times=PURGE_RATE,
+        budget=Budget.CONTROL_CPU,
+        counted=True,
+    ),
+    Requirement(
+        CONTROL_REPLICA,
+        "purges to the whole fleet from one replica",
+        "processor time of an event",
+        FLEET,
+        PERCENT,
+        REPLICA_FAN_OUT,
+        times=PURGE_RATE,
+        budget=Budget.CONTROL_CPU,
+    ),
+    Requirement(
+        CONTROL_REPLICA,
+        "bytes of purges to a fifth of the fleet",
+        "bytes of an event",
+        SHARE,
+        KILOBYTES_A_SECOND,
+        REPLICA_FAN_OUT,
+        times=PURGE_RATE,
+    ),
+    Requirement(
+        CONTROL_REPLICA,
+        "resident memory of the process, few purges",
+        "resident memory",
+        SHARE,
+        MEGABYTES,
+        REPLICA_FAN_OUT,
+    ),
+    Requirement(
+        CONTROL_REPLICA,
+        "descriptors",
+        "descriptors",
+        SHARE,
+        DESCRIPTORS,
+        REPLICA_FAN_OUT,
+    ),
+    Requirement(
+        CONTROL_REPLICA,
+        "memory of purges, horizon of an hour",
+        "memory of purges within the horizon",
+        HOUR,
+        MEGABYTES,
+        REPLICA_STATE,
+    ),
+    Requirement(
+        CONTROL_REPLICA,
+        "memory of acknowledgements",
+        "memory of acknowledgements",
+        FLEET,
+        MEGABYTES,
+        REPLICA_TABLE,
+    ),
+    Requirement(
+        CONTROL_REPLICA,
+        "a status of the fleet",
+        "processor time of a status of the fleet",
+        FLEET,
+        MILLISECONDS,
+        REPLICA_TABLE,
+    ),
+    Requirement(
+        CONTROL_REPLICA,
+        "bytes of a catch-up to one dispatcher, horizon of 60 s",
+        "bytes of a catch-up from nothing",
+        PURGES_KEPT_WINDOW,
+        KILOBYTES_A_SECOND,
+        REPLICA_STATE,
+        times=WITHIN,
+        budget=Budget.DISPATCHER_BYTES,
+    ),
+    Requirement(
+        CONTROL_REPLICA,
+        "bytes of a catch-up to one dispatcher, horizon of an hour",
+        "bytes of a catch-up from nothing",
+        PURGES_KEPT_HOUR,
+        KILOBYTES_A_SECOND,
+        REPLICA_STATE,
+        times=WITHIN,
+        budget=Budget.DISPATCHER_BYTES,
+    ),
+    Requirement(
+        CONTROL_REPLICA,
+        "a fifth of the fleet catches up, horizon of an hour, lines alone",
+        "processor time of a later catch-up's lines",
+        PURGES_KEPT_HOUR,
+        PERCENT,
+        REPLICA_STATE,
+        times=SHARE_WITHIN,
+        budget=Budget.CONTROL_CPU,
+    ),
     Requirement(
         CONTROL_SERVICE,
         "building purges, 60 s kept",
@@ -374,7 +471,7 @@
         "processor time of checking a configuration",
         TENANTS,
         PERCENT,
-        FILE_RELOAD,
+        CONFIGURATION,
         times=DAY_RATE,
         budget=Budget.DISPATCHER_CPU,
         counted=True,
@@ -385,7 +482,7 @@
         "processor time of checking a configuration",
         TENANTS,
         PERCENT,
-        FILE_RELOAD,
+        CONFIGURATION,
         times=BURST_RATE,
         budget=Budget.DISPATCHER_CPU,
     ),
@@ -395,7 +492,7 @@
         "bytes of a configuration",
         TENANTS,
         KILOBYTES_A_SECOND,
-        FILE_RELOAD,
+        CONFIGURATION,
         times=DAY_RATE,
         budget=Budget.DISPATCHER_BYTES,
         counted=True,
@@ -406,7 +503,7 @@
         "bytes of a configuration",
         TENANTS,
         KILOBYTES_A_SECOND,
-        FILE_RELOAD,
+        CONFIGURATION,
         times=BURST_RATE,
         budget=Budget.DISPATCHER_BYTES,
     ),
@@ -416,7 +513,7 @@
         "memory of a checked configuration",
         TENANTS,
         MEGABYTES,
-        FILE_RELOAD,
+        CONFIGURATION,
         budget=Budget.DISPATCHER_MEMORY,
         counted=True,
     ),
@@ -471,4 +568,5 @@
         PROXYING,
         times=REQUEST_RATE,
     ),
+    *REPLICA_REQUIREMENTS,
 )
--- a/hoistplank/lab/scale/tables.py
+++ b/hoistplank/lab/scale/tables.py
@@ -1,6 +1,6 @@
 """The generated tables of `docs/CAPACITY.md`: figures to Markdown, and their places between marker comments.
 
-Judgement on text: no file is touched here. A place begins with `<!-- table: NAME -->` and ends with
+Text in, text out: no file is touched here. A place begins with `<!-- table: NAME -->` and ends with
 `<!-- end of table -->`; all between is replaced.
 """
 
@@ -10,7 +10,7 @@
 from collections.abc import Callable, Sequence
 
 from hoistplank.lab.scale.measurements import Measurement
-from hoistplank.lab.scale.requirement_list import REQUIREMENTS, ROLES
+from hoistplank.lab.scale.requirement_list import REQUIREMENTS
 from hoistplank.lab.scale.requirements import (
     Basis,
     BudgetSum,
@@ -20,6 +20,7 @@
     over_budget,
     sums,
 )
+from hoistplank.lab.scale.roles import ROLES
 from hoistplank.lab.scale.slopes import Fit, judge
 
 PLACE = re.compile(r"<!-- table: ([^>]+?) -->\n(.*?)<!-- end of table -->", re.DOTALL)
