--- a/tests/test_scale_run.py
+++ b/tests/test_scale_run.py
@@ -230,6 +230,25 @@
     assert not auditor.knows(Position(1, 1))
 
 
+def test_audit_lets_a_router_be_ahead_of_what_its_dispatcher_says_but_not_behind() -> None:
+    """As in a catch-up, parts of which are applied before its end moves the position."""
+    auditor, router = audited(
+        Expect(0, 2, hosts=[HostState("h", "draining", 7, 1.0)]),
+        Expect(0, 3, hosts=[HostState("h", "gone", 7, 1.0)]),
+        Expect(0, 4, hosts=[HostState("h", "ready", 9, 1.0)]),
+    )
+    told, configured = Position(0, 1), Position(0, 0)
+    router.hosts_listed(1, "whole", [HostEntry("h", "z0", "box", 0, 1.0, 7, "up")])
+    for position in (2, 3, 4):
+        found = auditor.missing(router, configured, told, Position(0, position))
+        assert [number for number, _ in found] == [position]
+    router.hosts_listed(2, "changes", [HostEntry("h", "z0", "box", 0, 1.0, 9, "up")])
+    for position in (2, 3, 4):
+        assert auditor.missing(router, configured, told, Position(0, position)) == []
+    router.hosts_listed(3, "changes", [HostEntry("h", "z0", "box", 0, 1.0, 11, "up")])
+    assert auditor.missing(router, configured, told, Position(0, 2)) != []
+
+
 def test_audit_takes_a_floor_under_all_objects_for_a_purge() -> None:
     auditor, router = audited(Expect(0, 2, "ab", 50 * S), Expect(0, 3, "cd", 60 * S))
     router.floors[ALL_OBJECTS] = (55 * S, 90 * S)
