Failing test: a dispatcher forwards before the change log has answered

Cause: 'serving' is entered on the configuration's list, and nobody who forwards asks whether the log has answered on this connection.

--- a/hoistplank/fakes/cache_host.py
+++ b/hoistplank/fakes/cache_host.py
@@ -33,6 +33,14 @@
     cache_status: str
 
 
+class ReceivedRequest(NamedTuple):
+    """A request as it came: when (Unix s), its id, and the source to fill from ("" where none is named)."""
+
+    at: float
+    request_id: str
+    source: str
+
+
 @dataclass(slots=True)
 class ServerDirectory:
     """The servers of a deployment: a fill goes to a source that is named by its uid."""
@@ -71,6 +79,7 @@
         self.max_copies = max_copies
         self.copies: OrderedDict[PartKey, StoredCopy] = OrderedDict()
         self.fills: dict[PartKey, asyncio.Future[StoredCopy]] = {}
+        self.received: list[ReceivedRequest] = []  # of dispatchers, not the fills of other servers
         self.answers: list[SentAnswer] = []
         self.runs_by_key: dict[str, list[float]] = {}
         self.tasks: set[asyncio.Task[None]] = set()
@@ -109,6 +118,8 @@
     async def _answer(
         self, request_id: str, fields: dict[str, str], body: bytes, writer: asyncio.StreamWriter
     ) -> None:
+        if request_id != FILL_ID:
+            self.received.append(ReceivedRequest(time.time(), request_id, fields.get("parent", "")))
         if idempotency_key := fields.get("uniq"):
             receipt = await self._run_booking(idempotency_key, body)
             self._write(request_id, "filled", receipt, writer)
--- a/hoistplank/fakes/deployment.py
+++ b/hoistplank/fakes/deployment.py
@@ -138,6 +138,11 @@
 
         Raises RuntimeError with the end of its log if it does not within `READY_S`.
         """
+        await self.spawn()
+        await self.wait_until_ready()
+
+    async def spawn(self) -> None:
+        """Start the dispatcher's process."""
         own_prefixes = ("EDGE_", "HOISTPLANK_")
         environment = {name: value for name, value in os.environ.items() if not name.startswith(own_prefixes)}
         environment["EDGE_CONFIG"] = str(self.configuration)
@@ -147,6 +152,13 @@
             self.process = await asyncio.create_subprocess_exec(
                 sys.executable, *self.command, env=environment, stdout=log, stderr=log
             )
+
+    async def wait_until_ready(self) -> None:
+        """Wait until the dispatcher's health check says that it is to get requests.
+
+        Raises RuntimeError with the end of its log if it does not within `READY_S`.
+        """
+        assert self.process is not None
         until = time.monotonic() + READY_S
         while time.monotonic() < until and self.process.returncode is None:
             with contextlib.suppress(OSError, asyncio.IncompleteReadError):
@@ -160,6 +172,16 @@
         log_text = (self.folder / "dispatcher.log").read_text()[-2_000:]
         raise RuntimeError(f"the dispatcher did not come up: {log_text}")
 
+    async def kill(self) -> None:
+        """End the dispatcher's process with SIGKILL."""
+        assert self.process is not None
+        self.process.kill()
+        await self.process.wait()
+
+    def log_text(self) -> str:
+        """What the dispatcher's processes have logged so far."""
+        return (self.folder / "dispatcher.log").read_text()
+
     async def client(self) -> FastCgiClient:
         """Open a client connection to the dispatcher."""
         return await connect(self.address)
