Nothing is forwarded by a list that the change log has not confirmed

Cause: Service._pass_through_phases entered 'serving' on has_list, which the configuration's list alone makes true, and EndpointWatcher.is_current was asked by nobody who forwards. The same after a broken connection to the log. Change: decision/list_confirmation.py follows the stages of the watch; Placement holds requests and Attempt.may_begin withholds attempts until the log has said the number that is held, with a bound on each wait; events without a number behind them have the log asked again. After a standstill the log's socket is read out first. Health says 503 until then. The log gets the stages, the list's number, hosts and age, attempts by ending and given up requests by reason. Tests: stage events are recorded apart, and those that assumed 'serving' at once wait for it.

--- a/hoistplank/decision/actions.py
+++ b/hoistplank/decision/actions.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from enum import StrEnum
+
 import msgspec
 
 # The middle of the ranks by which a cache host evicts copies: no fill is known to be worth more than others.
@@ -27,17 +29,28 @@
     start_by_us: int = 0
 
 
+class EndReason(StrEnum):
+    """Why a request was given up; the values stand in the log."""
+
+    LIST_UNCONFIRMED = "list unconfirmed"  # its time ran out while attempts were held
+    TOO_LATE = "too late"  # no attempt can be in time any more, or the core was full
+    NO_ATTEMPT_LEFT = "no attempt left"  # it may not be attempted again
+    NO_HOST = "no host"  # nobody is listed that could serve it
+
+
 class Reject(msgspec.Struct, frozen=True, gc=False):
     """Answer that nothing was done and the client may come again after `retry_after_us`."""
 
     request_id: str
     retry_after_us: int
+    reason: EndReason = EndReason.NO_ATTEMPT_LEFT
 
 
 class Fail(msgspec.Struct, frozen=True, gc=False):
     """Answer that the request failed and may have had its effect."""
 
     request_id: str
+    reason: EndReason = EndReason.NO_ATTEMPT_LEFT
 
 
 class CancelAttempt(msgspec.Struct, frozen=True, gc=False):
--- a/hoistplank/decision/events.py
+++ b/hoistplank/decision/events.py
@@ -84,6 +84,23 @@
     """The watch on the endpoint list has ended."""
 
 
+class EndpointWatchStage(StrEnum):
+    """Where a watch on the endpoint list stands, as far as it can be relied on; the values stand in the
+    log."""
+
+    CONNECTING = "connecting"
+    REFUSED = "refused"  # nobody listens at the source's address
+    AWAITING_ANSWER = "awaiting answer"  # the source was asked, and has not said that all is known
+    CONFIRMED = "confirmed"  # the source said its number, and everything up to it is known
+
+
+class EndpointWatchStageChanged(msgspec.Struct, frozen=True, gc=False):
+    """The watch on the endpoint list has come to another stage. Where none is ever reported, the list counts
+    as confirmed."""
+
+    stage: EndpointWatchStage
+
+
 class EventLoopMeasured(msgspec.Struct, frozen=True, gc=False):
     """How the host program fares: the events that wait for a turn, and by how much its loop runs late."""
 
@@ -155,6 +172,7 @@
 Event = (
     EndpointsUpdated
     | EndpointWatchFailed
+    | EndpointWatchStageChanged
     | EventLoopMeasured
     | DegradationChanged
     | RequestArrived
--- a/hoistplank/decision/parts.py
+++ b/hoistplank/decision/parts.py
@@ -9,6 +9,7 @@
 from hoistplank.decision.health import HealthTracker
 from hoistplank.decision.herds import HerdTable
 from hoistplank.decision.hosts import HostTable
+from hoistplank.decision.list_confirmation import ListConfirmation
 from hoistplank.decision.overload import OverloadGuard
 from hoistplank.decision.purges import PurgeWatermarks
 from hoistplank.decision.ranking import HostRanking
@@ -41,6 +42,7 @@
         self.class_states = {row.name: TrafficClassState(row) for row in settings.traffic_classes}
         class_states = tuple(self.class_states.values())
         self.hosts = HostTable(settings)
+        self.list_confirmation = ListConfirmation(settings.rules.drain_grace_us)
         self.slow_start = types.slow_start(settings, self.hosts, class_states)
         self.health = types.health(self.hosts, self.slow_start)
         self.host_limits = HostLimits(settings, self.health)
--- a/hoistplank/decision/placement.py
+++ b/hoistplank/decision/placement.py
@@ -8,6 +8,7 @@
 from enum import Enum
 from typing import NamedTuple
 
+from hoistplank.decision.actions import EndReason
 from hoistplank.decision.events import EndpointListForm
 from hoistplank.decision.hosts import Host
 from hoistplank.decision.parts import Parts
@@ -53,6 +54,7 @@
 
     def __init__(self, settings: RouterSettings, parts: Parts) -> None:
         self.hosts = parts.hosts
+        self.list_confirmation = parts.list_confirmation
         self.health = parts.health
         self.slow_start = parts.slow_start
         self.host_limits = parts.host_limits
@@ -84,6 +86,10 @@
 
     def place(self, now_us: int, request: Request) -> Placed:
         """An attempt for the request, or whether it is held or given up."""
+        if not self.list_confirmation.permits_attempts(now_us):
+            # Danger: drains and purges from before the list's source has answered count as received, and
+            # whatever is sent by the list as it is may go to a host that left (rules three and five).
+            return GIVE_UP if now_us > request.latest_start_us else HOLD
         if request.traffic_class.stale_window_us and not request.stale_allowed:
             stale = self._stale_copy(now_us, request)
             if stale is not None:
@@ -96,6 +102,14 @@
             return self._place_uncached(now_us, request)
         return self._place_cached(now_us, request)
 
+    def end_reason(self, now_us: int, request: Request) -> EndReason:
+        """Why a request that is given up now is given up."""
+        if not self.list_confirmation.permits_attempts(now_us):
+            return EndReason.LIST_UNCONFIRMED
+        if now_us > request.latest_start_us:
+            return EndReason.TOO_LATE
+        return EndReason.NO_HOST if self._may_go_on(now_us, request) else EndReason.NO_ATTEMPT_LEFT
+
     def _may_go_on(self, now_us: int, request: Request) -> bool:
         """Whether any further attempt is allowed, at the host where the first may have run at least."""
         if not self.retries.may_attempt(now_us, request, request.first_run_host):
@@ -109,7 +123,7 @@
         of degradation says so, or else at the very last. Never while purges are not known.
         """
         traffic_class = request.traffic_class
-        if self.purges_unknown:
+        if self.purges_unknown or self.list_confirmation.may_miss_purges():
             return None
         if not (
             request.class_state.in_time_share < traffic_class.stale_value_share
--- a/hoistplank/decision/retries.py
+++ b/hoistplank/decision/retries.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 from math import exp
 
-from hoistplank.decision.actions import Fail, Reject
+from hoistplank.decision.actions import EndReason, Fail, Reject
 from hoistplank.decision.events import AttemptEnded, CacheStatus, Outcome
 from hoistplank.decision.hosts import AttemptCounts, Host
 from hoistplank.decision.requests import Attempt, Request
@@ -149,7 +149,7 @@
         doublings = min(request.attempts_made, MOST_BACKOFF_DOUBLINGS)
         request.not_before_us = now_us + int(BACKOFF_US * 2**doublings * (0.5 + self.random()))
 
-    def final_answer(self, request: Request) -> Reject | Fail:
+    def final_answer(self, request: Request, reason: EndReason) -> Reject | Fail:
         """The answer of a request that is given up: rejected only where coming again does no harm."""
         traffic_class = request.traffic_class
         harmless = traffic_class.semantics == IDEMPOTENT or request.first_run_us < 0
@@ -157,6 +157,6 @@
             keyed = traffic_class.semantics != NON_IDEMPOTENT
             harmless = keyed and traffic_class.deduplication_scope == DEDUPLICATED_EVERYWHERE
         if not harmless:
-            return Fail(request.id)
+            return Fail(request.id, reason)
         most_us = self.rules.max_retry_after_us * self.rules.may_send_retry_after
-        return Reject(request.id, int(most_us * (0.5 + self.random() / 2)))
+        return Reject(request.id, int(most_us * (0.5 + self.random() / 2)), reason)
--- a/hoistplank/decision/router.py
+++ b/hoistplank/decision/router.py
@@ -27,6 +27,7 @@
     Endpoint,
     EndpointsUpdated,
     EndpointWatchFailed,
+    EndpointWatchStageChanged,
     Event,
     EventLoopMeasured,
     PurgeReceived,
@@ -76,6 +77,7 @@
             PurgeReceived: self._on_purge_received,
             EndpointsUpdated: self._on_endpoints_updated,
             EndpointWatchFailed: self._on_endpoint_watch_failed,
+            EndpointWatchStageChanged: self._on_endpoint_watch_stage_changed,
             DegradationChanged: self._on_degradation_changed,
         }
 
@@ -83,6 +85,10 @@
         """Takes in what has happened; decides nothing."""
         self._handlers[type(event)](now_us, event)
 
+    def permits_attempts(self, now_us: int) -> bool:
+        """Whether anything may be sent by the endpoint list that is held; asked again at the first byte."""
+        return self.parts.list_confirmation.permits_attempts(now_us)
+
     def next_action(self, now_us: int) -> Action | None:
         """The next thing to do, or None where there is nothing left."""
         if self.changed:
@@ -117,6 +123,12 @@
         self.changed = True
         self.watching = False
 
+    def _on_endpoint_watch_stage_changed(self, now_us: int, event: EndpointWatchStageChanged) -> None:
+        self.changed = True
+        self.parts.list_confirmation.observe(now_us, event.stage)
+        for request in self.waiting.values():
+            request.next_look_us = 0
+
     def _on_event_loop_measured(self, _now_us: int, event: EventLoopMeasured) -> None:
         self.parts.overload.measure(event)
 
@@ -219,7 +231,8 @@
         if isinstance(placed, PlannedAttempt):
             self._send(now_us, request, placed)
         elif placed is GIVE_UP:
-            self.actions.append(self.parts.retries.final_answer(request))
+            reason = self.placement.end_reason(now_us, request)
+            self.actions.append(self.parts.retries.final_answer(request, reason))
             self._close(request)
 
     def _set_timer(self, now_us: int) -> None:
--- a/hoistplank/distribution/follower.py
+++ b/hoistplank/distribution/follower.py
@@ -47,9 +47,9 @@
     EndpointWatcher,
     EventReceiver,
 )
-from hoistplank.routing.events import Checkpoint, EndpointsUpdated, EndpointWatchFailed
+from hoistplank.routing.events import Checkpoint, EndpointsUpdated, EndpointWatchFailed, EndpointWatchStage
 from hoistplank.transport.connecting import connect
-from hoistplank.transport.connection import Consume
+from hoistplank.transport.connection import Connection, Consume
 
 log = structlog.get_logger()
 CHECK_INTERVAL_S = 0.25
@@ -117,6 +117,10 @@
 
     # Lines from the replica.
 
+    def _should_ask_again(self, connection: Connection) -> bool:  # noqa: ARG002  a replica's heartbeats come
+        """Never: each connection costs a replica a catch-up's turn."""
+        return False
+
     def _first_line(self) -> bytes:
         self.state.connection_opened(self.receiver.clock.now())
         settings = self.settings
@@ -154,8 +158,11 @@
         self.progress_count += 1
         if verdict is Verdict.APPLY:
             self._forward(message)
-        elif message.catch_up is None and self.observer is not None:
-            self.observer.confirmed_current()
+        elif message.catch_up is None:
+            if message.version == self.state.received:
+                self._confirm()
+            if self.observer is not None:
+                self.observer.confirmed_current()
 
     def _forward(self, event: ReplicatedEvent) -> None:
         if event.epoch != self.epoch:
@@ -244,6 +251,7 @@
         backoff_s = MIN_BACKOFF_S
         while True:
             self.is_current = False
+            self._enter_stage(EndpointWatchStage.CONNECTING)
             if await self._follow_current():
                 self.selection.restart()
                 continue
--- a/hoistplank/program/service.py
+++ b/hoistplank/program/service.py
@@ -17,6 +17,7 @@
 from hoistplank.program.extension_protocol import Extension, Extensions
 from hoistplank.program.graceful_shutdown import GracefulShutdown
 from hoistplank.program.phase import Phase
+from hoistplank.program.state_log import StateLog
 from hoistplank.routing.cache_host_reader import make_answer_reader
 from hoistplank.routing.clock import Clock
 from hoistplank.routing.endpoint_watcher import EndpointWatcher
@@ -70,6 +71,8 @@
         self.router_task.pool = self._make_pool()
         self.frontend = self._make_frontend()
         self.endpoint_watcher = self._make_endpoint_watcher()
+        self.router_task.standstills.read_pending = self._read_pending_changes
+        self.state_log = StateLog(self)
         self.listener = Listener(configuration.listen, self.descriptors, self.frontend.serve)
         self.shutdown = GracefulShutdown(
             self.router_task, self.frontend, self.listener, self._longest_deadline_s()
@@ -100,6 +103,9 @@
             configuration.router_settings.rules.drain_grace_us / 1e6,
         )
 
+    def _read_pending_changes(self) -> None:
+        self.endpoint_watcher.read_pending()  # by its name: an extension may have put another in its place
+
     def _make_pool(self) -> Pool:
         configuration = self.configuration
         return Pool(
@@ -184,11 +190,12 @@
             open=self.router_task.requests.open_count,
             peak_descriptors=self.descriptors.peak,
             peak_mb=peak_mb,
+            **self.state_log.list_fields(),
             **self.router_task.counts.log_fields(),
         )
 
     async def _pass_through_phases(self) -> None:
-        await self._until(lambda: self.endpoint_watcher.has_list or self.provisional)
+        await self._until(self._may_serve)
         # What was known is with the Router before any request: both go through one queue, in order.
         gc.collect()
         gc.freeze()
@@ -202,6 +209,14 @@
         self.enter(Phase.DRAINING)
         await self.shutdown.run()
 
+    def _may_serve(self) -> bool:
+        """Whether there is a list, and the Router acts on it.
+
+        Danger: `known` alone is as old as this process's start, and what drained since counts as received.
+        """
+        has_list = self.endpoint_watcher.has_list or self.provisional
+        return has_list and self.router_task.router.permits_attempts(self.router_task.clock.now())
+
     async def _until(self, is_known: Callable[[], bool]) -> None:
         """Waits for the condition or SIGTERM, whichever is first."""
         while not is_known() and not self.terminated.is_set():
@@ -234,6 +249,8 @@
     async def _sweep(self) -> None:
         while True:
             await asyncio.sleep(SWEEP_INTERVAL_S)
+            self.router_task.standstills.check()
+            self.state_log.update()
             self.frontend.sweep()
             if self.router_task.pool is not None:
                 self.router_task.pool.sweep()
--- /dev/null
+++ b/hoistplank/program/state_log.py
@@ -0,0 +1,75 @@
+"""Logs how far the endpoint list is to be relied on, and now and then what became of requests."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Protocol
+
+import structlog
+
+from hoistplank.decision.list_confirmation import ListStanding
+from hoistplank.routing.endpoint_watcher import EndpointWatcher
+from hoistplank.routing.request_counts import RequestCounts
+from hoistplank.routing.router_task import RouterTask
+
+log = structlog.get_logger()
+
+COUNTS_INTERVAL_S = 10.0
+
+
+class ObservedProgram(Protocol):
+    """What is looked at."""
+
+    router_task: RouterTask
+    endpoint_watcher: EndpointWatcher
+
+
+class StateLog:
+    """Looks at the program when `update` is called; nothing is logged per request."""
+
+    def __init__(self, program: ObservedProgram) -> None:
+        self._program = program
+        self._standing = ListStanding.UNWATCHED
+        self._standing_since = self._counts_logged_at = asyncio.get_running_loop().time()
+        self._counts_logged: dict[str, dict[str, int]] = RequestCounts().breakdown()
+
+    def update(self) -> None:
+        """Logs what has changed."""
+        router_task, now = self._program.router_task, asyncio.get_running_loop().time()
+        standing = router_task.router.parts.list_confirmation.standing(router_task.clock.now())
+        if standing is not self._standing:
+            self._log_standing(standing, now)
+        if now - self._counts_logged_at >= COUNTS_INTERVAL_S:
+            self._counts_logged_at = now
+            self._log_counts()
+
+    def _log_standing(self, standing: ListStanding, now: float) -> None:
+        before, self._standing = self._standing, standing
+        lasted_ms = round((now - self._standing_since) * 1_000)
+        self._standing_since = now
+        waiting = len(self._program.router_task.router.waiting)
+        log.info(
+            "endpoint list",
+            standing=standing.value,
+            before=before.value,
+            lasted_ms=lasted_ms,
+            waiting=waiting,
+            **self.list_fields(),
+        )
+
+    def _log_counts(self) -> None:
+        router_task = self._program.router_task
+        breakdown = router_task.counts.breakdown()
+        if breakdown != self._counts_logged:
+            self._counts_logged = breakdown
+            log.info("counts", **breakdown, standstills=router_task.standstills.count, **self.list_fields())
+
+    def list_fields(self) -> dict[str, int]:
+        """The number of the last event held, how many hosts are listed, and how old that knowledge is: since
+        the change log last said that nothing is missing, -1 where it never did."""
+        watcher = self._program.endpoint_watcher
+        age_ms = -1
+        if watcher.confirmed_at:
+            age_ms = round((asyncio.get_running_loop().time() - watcher.confirmed_at) * 1_000)
+        hosts = len(self._program.router_task.endpoints.by_host)
+        return {"list_last": watcher.last_seq, "list_hosts": hosts, "list_age_ms": age_ms}
--- a/hoistplank/routing/attempts.py
+++ b/hoistplank/routing/attempts.py
@@ -72,6 +72,9 @@
     def submit(self, event: AttemptEnded) -> None:
         """Takes the attempt's end."""
 
+    def permits_attempts(self, now: int, /) -> bool:
+        """Whether anything may be sent by the endpoint list that is held."""
+
 
 class Attempt:
     """One request on its way to one cache host, in the pool's hands; it reports its end to its owner once.
@@ -97,11 +100,14 @@
         Danger: a drain's grace, a warming host's budget, a purge's grace or the window in which a repeat is
         dropped passes while a connection is not yet up, or while its writes are held up.
         """
+        self.started_us = self.owner.clock.now()
+        # First: it may find that more has come from the change log, which changes what follows.
+        if not self.owner.permits_attempts(self.started_us):
+            return False
         if self.is_over or self.request.is_closed or not self.owner.endpoints.is_up(self.host):
             return False
         if self.source and not self.owner.endpoints.is_up(self.source):
             return False
-        self.started_us = self.owner.clock.now()
         if 0 < self.start_by_us < self.started_us:
             return False
         return self.started_us - self.decided_us <= self.owner.max_start_delay_us
--- a/hoistplank/routing/endpoint_watcher.py
+++ b/hoistplank/routing/endpoint_watcher.py
@@ -14,7 +14,14 @@
 from hoistplank.protocol.errors import ProtocolError
 from hoistplank.routing.clock import Clock
 from hoistplank.routing.clock_offset import ClockOffset
-from hoistplank.routing.events import EndpointListForm, EndpointsUpdated, EndpointWatchFailed, PurgeReceived
+from hoistplank.routing.events import (
+    EndpointListForm,
+    EndpointsUpdated,
+    EndpointWatchFailed,
+    EndpointWatchStage,
+    EndpointWatchStageChanged,
+    PurgeReceived,
+)
 from hoistplank.routing.events import Event as RouterTaskEvent
 from hoistplank.routing.rate_limited_log import RateLimitedLog
 from hoistplank.routing.remembered_drains import RememberedDrains
@@ -27,6 +34,16 @@
 MAX_BUFFERED_BYTES = changelog.MAX_LINE_BYTES + 65_536  # the longest line, and what comes behind it
 LARGE_BUFFER_BYTES = 262_144  # a buffer above it is given back once it is empty: few lines are as long
 CONNECT_TIMEOUT_S = 1.0
+# Reads from the socket in one go, of 8 KB and more each: a batch of events is known before the next turn.
+# Events without a number behind them may be the first of several. A log that is asked anew says its number at
+# once, which is sooner than the next second: so long after the last byte, and so often in a row.
+SETTLED_S = 0.04
+MAX_QUESTIONS = 3
+MAX_READS_AT_ONCE = 16
+MAX_PENDING_READS = 1_024  # after a standstill
+ASK_AGAIN = (
+    "asked again for its number"  # why a connection was left that is to be followed by another at once
+)
 # Backoff between attempts to connect. What the log holds while nobody is connected counts as received:
 # the longest is a share of a drain's grace, so that a drain is received within it once the log is back.
 MIN_BACKOFF_S, MAX_BACKOFF_S, MAX_BACKOFF_OF_DRAIN_GRACE = 0.05, 1.0, 0.6
@@ -73,6 +90,10 @@
         self.last_seq = 0
         self.has_list = False
         self.is_current = False  # whether this connection has brought anything in its order
+        self.stage: EndpointWatchStage | None = None  # as last reported
+        self.confirmed_at = 0.0  # loop time of the last number that said that nothing is missing; 0: never
+        self._asked_at = 0.0
+        self._questions = 0  # asked since sight of the log was lost
         self.is_log_behind = False  # whether the log says a number below ours
         self.numbering_restarted = False  # whether it counts from 1 again since we began
         self.progress_count = 0  # events and numbers that came in their order
@@ -84,6 +105,7 @@
         for event in known.results:
             self._apply(event)
         self.last_seq = max(self.last_seq, known.seq)
+        self._enter_stage(EndpointWatchStage.CONNECTING)
 
     def _apply(self, event: Event) -> None:
         """Hands one event on."""
@@ -131,6 +153,7 @@
             return False
         if number > self.last_seq:
             raise ProtocolError(f"the change log is at {number}, but its events came only to {self.last_seq}")
+        self._confirm()
         if self.observer is not None:
             self.observer.confirmed_current()
         return True
@@ -143,6 +166,39 @@
         self._apply(event)
         return True
 
+    def _confirm(self) -> None:
+        """The log said the number that is held: everything that it had to tell is known.
+
+        Danger: the first of several events says nothing of those behind it, which may be a drain's.
+        """
+        self.confirmed_at = asyncio.get_running_loop().time()
+        if self.stage is not EndpointWatchStage.CONFIRMED:
+            waited_ms = round((self.confirmed_at - self._asked_at) * 1_000)
+            self.rate_limited_log.info("change log confirmed", last=self.last_seq, waited_ms=waited_ms)
+            self._questions = 0
+            self._enter_stage(EndpointWatchStage.CONFIRMED)
+
+    def _should_ask_again(self, connection: Connection) -> bool:
+        """Whether events have come, nothing follows them, and the log has not said that these were all."""
+        if self.stage is EndpointWatchStage.CONFIRMED or not self.is_current:
+            return False
+        has_settled = asyncio.get_running_loop().time() - connection.last_read_at > SETTLED_S
+        return has_settled and not connection.has_partial_message and self._questions < MAX_QUESTIONS
+
+    def _enter_stage(self, stage: EndpointWatchStage) -> None:
+        if stage is not self.stage:
+            self.stage = stage
+            self.receiver.submit(EndpointWatchStageChanged(stage))
+
+    def read_pending(self) -> None:
+        """Reads all that has come from the log by now.
+
+        Danger: after a standstill of this process, requests would be forwarded before what the log said
+        meanwhile is read.
+        """
+        if self.connection is not None:
+            self.connection.read_pending(MAX_PENDING_READS)
+
     def set_address(self, address: tuple[str, int]) -> None:
         """From now on the change log is followed there, from the last number held."""
         if address != self.address:
@@ -155,9 +211,10 @@
         backoff_s = MIN_BACKOFF_S
         while True:
             self.is_current = False
+            self._enter_stage(EndpointWatchStage.CONNECTING)
             self._address_changed.clear()
             error = await self._follow_until_moved()
-            if self._address_changed.is_set():
+            if self._address_changed.is_set() or error is ASK_AGAIN:
                 backoff_s = MIN_BACKOFF_S
                 continue
             if self.is_log_behind:
@@ -211,11 +268,21 @@
         """One connection from its start to its end; returns why it ended."""
         try:
             sock = await connect(address, CONNECT_TIMEOUT_S)
+        except ConnectionRefusedError as error:
+            self._enter_stage(EndpointWatchStage.REFUSED)
+            return error
         except (OSError, ValueError) as error:  # no descriptor, a time-out, a name that can't be one: retried
             return error
         connection = Connection(sock, self.make_consumer(), MAX_BUFFERED_BYTES, changelog.MAX_LINE_BYTES)
+        connection.max_reads_at_once = MAX_READS_AT_ONCE
         connection.send(self._first_line())
         self.connection = connection
+        self._asked_at = asyncio.get_running_loop().time()
+        self._questions += 1
+        self.rate_limited_log.info(
+            "change log connected", address=f"{address[0]}:{address[1]}", last=self.last_seq
+        )
+        self._enter_stage(EndpointWatchStage.AWAITING_ANSWER)
         task = asyncio.create_task(connection.run(), name="change log socket")
         try:
             lost = await self._watch_for_silence(connection, task)
@@ -237,10 +304,12 @@
         silent_s, progress_count, stalled_s, heard_at = 0.0, self.progress_count, 0.0, 0.0
         while not task.done():
             check_began = loop.time()
-            await asyncio.wait((task,), timeout=self.check_interval_s)
+            is_confirmed = self.stage is EndpointWatchStage.CONFIRMED
+            interval_s = self.check_interval_s if is_confirmed else min(SETTLED_S, self.check_interval_s)
+            await asyncio.wait((task,), timeout=interval_s)
             # Danger: after a standstill of our own, what came meanwhile is still unread, and looks
             # silent: a check counts for its own time and no more.
-            elapsed_s = min(loop.time() - check_began, self.check_interval_s)
+            elapsed_s = min(loop.time() - check_began, interval_s)
             silent_s, stalled_s = silent_s + elapsed_s, stalled_s + elapsed_s
             if self.progress_count != progress_count:
                 silent_s, progress_count = 0.0, self.progress_count
@@ -248,6 +317,8 @@
                 connection.release_buffer()
             if connection.last_read_at != heard_at or not connection.has_partial_message:
                 stalled_s, heard_at = 0.0, connection.last_read_at
+            if self._should_ask_again(connection):
+                return ASK_AGAIN
             if silent_s > SILENCE_TIMEOUT_S or stalled_s > self.stall_timeout_s:
                 # Danger: half an event may be a drain, and the rest of it never comes here; whoever asks
                 # anew gets it at once.
--- a/hoistplank/routing/events.py
+++ b/hoistplank/routing/events.py
@@ -1,7 +1,7 @@
 """What is submitted to the router task: one type an event.
 
-Three are the decision logic's own, handed on as they are: TimerFired, DegradationChanged and
-EndpointWatchFailed.
+Four are the decision logic's own, handed on as they are: TimerFired, DegradationChanged,
+EndpointWatchFailed and EndpointWatchStageChanged.
 """
 
 from __future__ import annotations
@@ -13,6 +13,8 @@
     DegradationChanged,
     EndpointListForm,
     EndpointWatchFailed,
+    EndpointWatchStage,
+    EndpointWatchStageChanged,
     TimerFired,
 )
 from hoistplank.protocol.changelog import Target
@@ -28,6 +30,8 @@
     "DrainStarted",
     "EndpointListForm",
     "EndpointWatchFailed",
+    "EndpointWatchStage",
+    "EndpointWatchStageChanged",
     "EndpointsUpdated",
     "Event",
     "PurgeReceived",
@@ -93,6 +97,7 @@
     | TimerFired
     | EndpointsUpdated
     | EndpointWatchFailed
+    | EndpointWatchStageChanged
     | PurgeReceived
     | DegradationChanged
     | DrainStarted
--- a/hoistplank/routing/router_task.py
+++ b/hoistplank/routing/router_task.py
@@ -3,9 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass
 from typing import Any
 
 from hoistplank.decision import events as decision_events
@@ -22,6 +20,7 @@
 from hoistplank.routing.class_admission import ClassAdmission
 from hoistplank.routing.clock import Clock
 from hoistplank.routing.endpoint_registry import EndpointRegistry
+from hoistplank.routing.event_queue import EventQueue
 from hoistplank.routing.events import (
     AttemptTimedOut,
     Checkpoint,
@@ -31,13 +30,16 @@
     DrainStarted,
     EndpointsUpdated,
     EndpointWatchFailed,
+    EndpointWatchStageChanged,
     Event,
     PurgeReceived,
     RequestArrived,
     TimerFired,
 )
+from hoistplank.routing.request_counts import RequestCounts
 from hoistplank.routing.request_table import RequestTable
 from hoistplank.routing.signal_feed import SignalFeed
+from hoistplank.routing.standstill import StandstillDetector
 from hoistplank.transport.pool import Pool
 from hoistplank.transport.pooled_request import RequestFailure
 
@@ -46,34 +48,10 @@
 # An attempt that has waited longer than a connection may take, and this, is decided anew.
 START_DELAY_MARGIN_US = 100_000
 LAG_DECAY_DIVISOR = 8  # by so much of itself the lag falls a turn, where the loop is no later again
-FIRST_IN_ORDER = -1e18  # before any request, by `_urgency`
 
 AttemptObserver = Callable[[Attempt, AttemptEnding], None]
 
 
-@dataclass(slots=True)
-class RequestCounts:
-    """Requests by their end, and attempts, since the start; `shed` ones are among the rejected."""
-
-    succeeded: int = 0
-    rejected: int = 0
-    failed: int = 0
-    client_left: int = 0
-    attempts: int = 0
-    shed: int = 0
-
-    def log_fields(self) -> dict[str, int]:
-        """Under the names of the log line `phase`."""
-        return {
-            "succeeded": self.succeeded,
-            "rejected": self.rejected,
-            "failed": self.failed,
-            "left": self.client_left,
-            "attempts": self.attempts,
-            "shed": self.shed,
-        }
-
-
 class RouterTask:
     """Everything that changes what the Router knows goes through this task's queue, by `submit`.
 
@@ -96,17 +74,17 @@
         self.admission = ClassAdmission(settings, max_open or NO_CAP, clock.now())
         self.counts = RequestCounts()
         self.pool: Pool | None = None
-        self.queue: deque[Event] = deque()
+        self.queue = EventQueue({row.name: row.priority_weight for row in settings.traffic_classes})
         self.lag_us = 0  # by how much the loop runs late
         self.tick_s = min(MAX_TICK_S, settings.tick_us / 1e6)
         self.retry_after_us = settings.rules.max_retry_after_us // 2 * settings.rules.may_send_retry_after
         self.max_start_delay_us = settings.rules.connect_timeout_us + START_DELAY_MARGIN_US
         self.drain_deadline_us = 0  # to which deadlines are cut; 0 before the drain
+        self.standstills = StandstillDetector()
         self.attempt_observer: AttemptObserver | None = None  # who else learns how attempts end
         # Asked before each turn where the list may have gone stale: what the Router is to get first.
         self.before_turn: Callable[[int], EndpointsUpdated | None] | None = None
         self.signals: SignalFeed | None = None  # where levels of degradation are in use
-        self._priority_weights = {row.name: row.priority_weight for row in settings.traffic_classes}
         self._wake: asyncio.Event = asyncio.Event()
         self._event_handlers = self._make_event_handlers()
         self._action_handlers = self._make_action_handlers()
@@ -120,6 +98,7 @@
             TimerFired: self._hand_on,
             EndpointsUpdated: self._on_endpoints_updated,
             EndpointWatchFailed: self._on_endpoint_watch_failed,
+            EndpointWatchStageChanged: self._on_endpoint_watch_stage_changed,
             PurgeReceived: self._on_purge_received,
             DegradationChanged: self._hand_on,
             DrainStarted: self._on_drain_started,
@@ -172,11 +151,13 @@
 
     def turn(self) -> None:
         """Hands the Router what waits in the queue, and carries out what it decides."""
+        self.standstills.check()
         now = self.clock.now()
         if self.before_turn is not None and (stale_list := self.before_turn(now)) is not None:
             self._on_endpoints_updated(now, stale_list)
         self._measure_loop(now)
-        for event in self._take_queue():
+        is_late = self.lag_us > self.admission.controller.settings.target_lag_us
+        for event in self.queue.take(is_late=is_late):
             self._event_handlers[type(event)](now, event)
         while (action := self.router.next_action(now)) is not None:
             self._action_handlers[type(action)](now, action)
@@ -189,19 +170,6 @@
         if self.signals is not None:
             self.signals.loop_measured(now, self.lag_us, open_count / max(1.0, controller.limit))
 
-    def _take_queue(self) -> list[Event]:
-        if self.lag_us > self.admission.controller.settings.target_lag_us:
-            # Late: what ends attempts first, then new requests, those of the largest weight first, so that
-            # answers are not left lying while cheap requests are taken.
-            events, self.queue = sorted(self.queue, key=self._urgency), deque()
-            return events
-        return [self.queue.popleft() for _ in range(len(self.queue))]
-
-    def _urgency(self, event: Event) -> float:
-        if isinstance(event, RequestArrived):
-            return -self._priority_weights[event.request.class_name]
-        return FIRST_IN_ORDER
-
     # Requests.
 
     def _on_request_arrived(self, now: int, event: RequestArrived) -> None:
@@ -260,6 +228,7 @@
         if attempt.is_over:
             return
         attempt.settle()
+        self.counts.attempts_by_ending[ending] += 1
         if self.attempt_observer is not None:
             self.attempt_observer(attempt, ending)
         request = attempt.request
@@ -311,6 +280,16 @@
     def _on_endpoint_watch_failed(self, now: int, event: EndpointWatchFailed) -> None:
         self.router.handle(now, event)
 
+    def _on_endpoint_watch_stage_changed(self, now: int, event: EndpointWatchStageChanged) -> None:
+        self.router.handle(now, event)
+
+    def permits_attempts(self, now: int) -> bool:
+        """Whether anything may be sent by the endpoint list that is held; asked at an attempt's first byte.
+
+        After a standstill it is decided anew: what the change log said meanwhile is with the Router by then.
+        """
+        return not self.standstills.check() and self.router.permits_attempts(now)
+
     def _on_purge_received(self, now: int, event: PurgeReceived) -> None:
         age_us = max(0, now - event.made_us)
         self.router.handle(now, decision_events.PurgeReceived(event.object_key, event.purge_group, age_us))
@@ -350,12 +329,14 @@
         request = self.requests.by_id[action.request_id]
         self._close(request)
         self.counts.rejected += 1
+        self.counts.given_up_by_reason[action.reason] += 1
         request.response.reject(action.retry_after_us)
 
     def _fail(self, _now: int, action: Fail) -> None:
         request = self.requests.by_id[action.request_id]
         self._close(request)
         self.counts.failed += 1
+        self.counts.given_up_by_reason[action.reason] += 1
         request.response.fail()
 
     def _cancel_attempt(self, _now: int, action: CancelAttempt) -> None:
--- a/hoistplank/transport/connection.py
+++ b/hoistplank/transport/connection.py
@@ -48,6 +48,8 @@
         self.max_buffer_bytes, self.max_unsent_bytes = max_buffer_bytes, max_unsent_bytes
         self.buffer, self.start, self.end = bytearray(), 0, 0
         self.last_read_at = self.loop.time()
+        self.max_reads_at_once = 1  # more, where what comes must be known before anything else is done
+        self.read_count = 0
         self.is_closing = False  # `close_gracefully` has been called
         self.discarded_bytes = 0
         self.ended_inside_message = False  # once it has ended: whether that was inside a message
@@ -104,6 +106,14 @@
         ):
             self._on_readable()
 
+    def read_pending(self, max_reads: int) -> None:
+        """Reads until nothing more has come, by `max_reads` reads at most."""
+        for _ in range(max_reads):
+            read_count = self.read_count
+            self.read_now()
+            if self.read_count == read_count:
+                return
+
     def pause_reading(self, seconds: float) -> None:
         """Reads nothing for a while: what comes meanwhile is read in one go, and answered in one write."""
         if not self._reading_paused and not self.is_closed:
@@ -138,9 +148,12 @@
             self._discard_input()
             return
         try:
-            self._read_from_socket()
+            for _ in range(self.max_reads_at_once):
+                self._read_from_socket()
+                if self.state is not ConnectionState.OPEN or self._reading_stopped:
+                    break
         except (BlockingIOError, InterruptedError):
-            return
+            pass  # what has come is read
         except Exception as error:  # bad bytes, a reset, or a bug in a reader: this connection ends, no other
             self._end(error)
             return
@@ -163,6 +176,7 @@
             self._end(None)
             return
         self.end += received
+        self.read_count += 1
         self.last_read_at = self.loop.time()
         self.start = self.consume(self.buffer, self.start, self.end)
         if self._reading_stopped or self.state is not ConnectionState.OPEN:
--- a/tests/test_client_connections.py
+++ b/tests/test_client_connections.py
@@ -9,6 +9,7 @@
 from types import SimpleNamespace
 
 from hoistplank.fakes.wire import FastCgiClient, ScriptedCacheHost, serve
+from hoistplank.program.phase import Phase
 from hoistplank.transport.descriptor_budget import ConnectionKind
 from tests.dispatcher_scene import SteadyDispatcher, served, silent
 from tests.helpers import Running, until
@@ -39,6 +40,7 @@
         hosts = {"a": ScriptedCacheHost(served), "o": ScriptedCacheHost(silent)}
         async with Running(tmp_path, hosts, **{"limits.sockets": 64}) as dispatcher:
             frontend, stay = dispatcher.service.frontend, []
+            await until(lambda: dispatcher.service.phase is Phase.SERVING)
             while len(frontend.sessions) < dispatcher.service.descriptors.limits[ConnectionKind.CLIENT]:
                 stay.append(await dispatcher.connect())
                 stay[-1].send(1, "", script="/-/healthy")
