--- a/hoistplank/cli/control.py
+++ b/hoistplank/cli/control.py
@@ -80,13 +80,15 @@
         fail(f"--listen {listen}: without certificates only a loopback address is served")
     configure_logging(configuration.name, os.environ.get("HOISTPLANK_LOG", "lines"))
     try:
-        asyncio.run(_serve(configuration, listen, look_every))
+        asyncio.run(_serve(configuration, listen, credentials, look_every))
     except OSError as error:
         click.echo(f"hoistplank: can't listen on {listen}: {error}", err=True)
         sys.exit(1)
 
 
-async def _serve(configuration: Configuration, listen: str, look_every_s: float) -> None:
+async def _serve(
+    configuration: Configuration, listen: str, credentials: grpc.ServerCredentials | None, look_every_s: float
+) -> None:
     import structlog
 
     from hoistplank.xds.control import ControlService
@@ -94,7 +96,7 @@
     service, ended = ControlService(configuration), asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         asyncio.get_running_loop().add_signal_handler(number, ended.set)
-    port = await service.serve(listen)
+    port = await service.serve(listen, credentials)
     log = structlog.get_logger()
     log.info("control service", listen=listen, port=port, hosts=len(service.resources.hosts))
     running = asyncio.create_task(service.run(), name="control")
