--- a/hoistplank/fakes/deployment.py
+++ b/hoistplank/fakes/deployment.py
@@ -15,7 +15,7 @@
 from pathlib import Path
 from typing import Any, Self
 
-from hoistplank.fakes.cache_host import FakeCacheServer, ServerDirectory
+from hoistplank.fakes.cache_host import FakeCacheServer, ReceivedRequest, ServerDirectory
 from hoistplank.fakes.change_log import FakeChangeLog
 from hoistplank.fakes.settings import SETTINGS, endpoint_entry, fleet_event
 from hoistplank.fakes.wire import FastCgiClient, connect, serve
@@ -96,6 +96,7 @@
         self.address = ("127.0.0.1", 0)
         self.capacity_hint = 100.0
         self.command = command
+        self.extra_environment: dict[str, str] = {}  # of the dispatcher's process
         self.process: asyncio.subprocess.Process | None = None
 
     def endpoint_entries(self, states: dict[str, str] | None = None) -> list[dict[str, Any]]:
@@ -146,6 +147,7 @@
         own_prefixes = ("EDGE_", "HOISTPLANK_")
         environment = {name: value for name, value in os.environ.items() if not name.startswith(own_prefixes)}
         environment["EDGE_CONFIG"] = str(self.configuration)
+        environment |= self.extra_environment
         if self.operator:
             environment["HOISTPLANK_OPERATOR"] = self.operator
         with (self.folder / "dispatcher.log").open("ab") as log:
@@ -178,6 +180,10 @@
         self.process.kill()
         await self.process.wait()
 
+    def caches_received(self) -> list[ReceivedRequest]:
+        """The requests that came to any of the cache hosts."""
+        return [received for cache in self.caches for received in cache.received]
+
     def log_text(self) -> str:
         """What the dispatcher's processes have logged so far."""
         return (self.folder / "dispatcher.log").read_text()
