--- a/tests/dispatcher_scene.py
+++ b/tests/dispatcher_scene.py
@@ -2,11 +2,16 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Callable
 from typing import Any
 
+import pytest
+
 from hoistplank.fakes.wire import FastCgiClient
 from hoistplank.program.phase import Phase
+from hoistplank.transport.pooled_connection import PooledConnection
+from hoistplank.transport.pooled_request import RequestFailure
 from tests.helpers import Running, until
 
 BODY = bytes(range(256)) * 900
@@ -66,6 +71,21 @@
     return sent[0]
 
 
+class ConnectionGate:
+    """Holds up connections to hosts until it is opened."""
+
+    def __init__(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        self.open, self.waiting = asyncio.Event(), list[str]()
+        plain = PooledConnection._connect
+
+        async def connect(line: PooledConnection) -> RequestFailure | None:
+            self.waiting.append(line.host)
+            await self.open.wait()
+            return await plain(line)
+
+        monkeypatch.setattr(PooledConnection, "_connect", connect)
+
+
 async def session_of_the_client(dispatcher: Running) -> Any:
     """The session of the one client that has sent requests."""
     await until(lambda: any(each.has_sent_request for each in dispatcher.service.frontend.sessions))
--- a/tests/test_cache_host_attempts.py
+++ b/tests/test_cache_host_attempts.py
@@ -22,6 +22,7 @@
 from hoistplank.transport.descriptor_budget import ConnectionKind
 from tests.dispatcher_scene import (
     BODY,
+    ConnectionGate,
     SteadyDispatcher,
     answering_with,
     recorded_call,
@@ -283,3 +284,25 @@
             assert dispatcher.service.router_task.counts.attempts == 5 and box.connections == 5
 
     run_scene(scene())
+
+
+def test_the_time_that_a_host_is_given_is_what_its_client_has_left(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """An attempt that waits for its connection begins later than it was decided, and has less time then."""
+
+    async def scene() -> None:
+        box = ScriptedCacheHost(served)
+        async with SteadyDispatcher(tmp_path, {"a": box, "o": ScriptedCacheHost(served)}) as dispatcher:
+            loop, gate = asyncio.get_running_loop(), ConnectionGate(monkeypatch)
+            sent_at = loop.time()
+            dispatcher.client.send(1, "page", {"HTTP_X_DEADLINE_MS": "1500"})
+            await until(lambda: bool(gate.waiting))
+            await asyncio.sleep(0.35)  # a connection may take 0.4 s to come up
+            gate.open.set()
+            await until(lambda: bool(box.requests))
+            left_ms = 1_500 - (loop.time() - sent_at) * 1e3
+            _, fields, _ = box.requests[0]
+            assert int(fields["budget"]) <= left_ms + 50
+
+    run_scene(scene())
--- a/tests/test_client_departures.py
+++ b/tests/test_client_departures.py
@@ -16,11 +16,10 @@
 from hoistplank.protocol import fastcgi
 from hoistplank.routing.clock import Clock
 from hoistplank.routing.events import ClientDisconnected, RequestArrived
-from hoistplank.transport.pooled_connection import PooledConnection
-from hoistplank.transport.pooled_request import RequestFailure
 from tests.dispatcher_scene import (
     BODY,
     KEY,
+    ConnectionGate,
     SteadyDispatcher,
     request_bytes,
     served,
@@ -40,21 +39,6 @@
     return sock
 
 
-class ConnectionGate:
-    """Holds up connections to hosts until it is opened."""
-
-    def __init__(self, monkeypatch: pytest.MonkeyPatch) -> None:
-        self.open, self.waiting = asyncio.Event(), list[str]()
-        plain = PooledConnection._connect
-
-        async def connect(line: PooledConnection) -> RequestFailure | None:
-            self.waiting.append(line.host)
-            await self.open.wait()
-            return await plain(line)
-
-        monkeypatch.setattr(PooledConnection, "_connect", connect)
-
-
 def test_the_end_of_a_client_is_seen_while_it_does_not_read_what_it_is_owed(tmp_path: Path) -> None:
     async def scene() -> None:
         box = ScriptedCacheHost(
--- a/tests/test_malformed_clients.py
+++ b/tests/test_malformed_clients.py
@@ -8,15 +8,18 @@
 
 import pytest
 
-from hoistplank.fakes.wire import ScriptedCacheHost
+from hoistplank.fakes.wire import FastCgiClient, ScriptedCacheHost
 from hoistplank.protocol import fastcgi
 from tests.dispatcher_scene import (
+    SteadyDispatcher,
     served,
     silent,
 )
 from tests.helpers import Running, until
 from tests.scene_runner import run_scene
 
+REQUESTS, BODY_BYTES = 30, 48_000  # of a client: some of them hold more together than 32 MB allow
+
 
 def request_begin(number: int, params: bytes = b"") -> bytes:
     first = fastcgi.encode_record(fastcgi.BEGIN_REQUEST, number, struct.pack(">HB5x", 1, 1))
@@ -95,3 +98,27 @@
             assert (await dispatcher.ask(1, "page"))[0] == 200
 
     run_scene(scene())
+
+
+def test_whoever_is_let_go_for_the_memory_of_its_requests_is_answered_first(tmp_path: Path) -> None:
+    """Requests that were read are owed an answer each, whatever ends their connection."""
+
+    async def scene() -> None:
+        hosts = {"a": ScriptedCacheHost(silent), "o": ScriptedCacheHost(silent)}
+        async with SteadyDispatcher(tmp_path, hosts, limits={"sockets": 256, "memory_mb": 32}) as dispatcher:
+            clients, answers = [await dispatcher.connect() for _ in range(4)], list[int]()
+
+            async def read(client: FastCgiClient) -> None:
+                for _ in range(REQUESTS):
+                    answers.append((await asyncio.wait_for(client.read_answer(), 5))[1])
+
+            reading = [asyncio.create_task(read(client)) for client in clients]
+            for place, client in enumerate(clients):
+                for number in range(1, REQUESTS + 1):
+                    unique = f"{place:08x}{number:08x}"
+                    fields = {"HTTP_X_CORRELATION_ID": unique, "HTTP_X_OPERATION_KEY": unique * 2}
+                    client.send(number, "booking", fields, body=bytes(BODY_BYTES))
+            await asyncio.gather(*reading)
+            assert len(answers) == len(clients) * REQUESTS and 502 in answers
+
+    run_scene(scene())
