What came during a standstill is read first; budgets and answers at their time

Cause: an attempt's message was written at the decision, up to half a second before its first byte; after a standstill timers ran, and decided, before sockets were read; a connection closed for the memory of its requests dropped their answers.

--- a/hoistplank/lab/scale/role_cache_host.py
+++ b/hoistplank/lab/scale/role_cache_host.py
@@ -36,6 +36,9 @@
     def may_begin(self) -> bool:
         return True
 
+    def encode(self) -> bytes:
+        return REQUEST
+
     def failed(self, how: RequestFailure) -> None:
         """Its line is closed at the end of the measurement."""
 
@@ -55,7 +58,7 @@
     """Sends as many attempts to each host as it gets lines."""
     address = ("127.0.0.1", port)
     return [
-        pool.send(f"box-{host}", address, _Errand(host * MIN_CONNECTIONS_PER_HOST + number), REQUEST)
+        pool.send(f"box-{host}", address, _Errand(host * MIN_CONNECTIONS_PER_HOST + number))
         for host in range(hosts)
         for number in range(MIN_CONNECTIONS_PER_HOST)
     ]
--- a/hoistplank/program/service.py
+++ b/hoistplank/program/service.py
@@ -71,7 +71,7 @@
         self.router_task.pool = self._make_pool()
         self.frontend = self._make_frontend()
         self.endpoint_watcher = self._make_endpoint_watcher()
-        self.router_task.standstills.read_pending = self._read_pending_changes
+        self.router_task.standstills.read_pending = self._read_pending
         self.state_log = StateLog(self)
         self.listener = Listener(configuration.listen, self.descriptors, self.frontend.serve)
         self.shutdown = GracefulShutdown(
@@ -103,8 +103,10 @@
             configuration.router_settings.rules.drain_grace_us / 1e6,
         )
 
-    def _read_pending_changes(self) -> None:
-        self.endpoint_watcher.read_pending()  # by its name: an extension may have put another in its place
+    def _read_pending(self) -> None:
+        """What the change log and clients that wait for an answer have sent."""
+        self.endpoint_watcher.read_pending()
+        self.frontend.read_pending()
 
     def _make_pool(self) -> Pool:
         configuration = self.configuration
@@ -166,6 +168,7 @@
                 ("change log", self.endpoint_watcher.run()),
                 ("reload", self._reload()),
                 ("sweep", self._sweep()),
+                ("standstills", self.router_task.standstills.run()),
                 ("phases", self._pass_through_phases()),
                 *added,
             )
@@ -249,7 +252,6 @@
     async def _sweep(self) -> None:
         while True:
             await asyncio.sleep(SWEEP_INTERVAL_S)
-            self.router_task.standstills.check()
             self.state_log.update()
             self.frontend.sweep()
             if self.router_task.pool is not None:
--- a/hoistplank/protocol/fastcgi/reader.py
+++ b/hoistplank/protocol/fastcgi/reader.py
@@ -107,6 +107,12 @@
             self.held_bytes -= request.held_bytes
         self.complete.discard(number)
 
+    def forget_all(self) -> None:
+        """Nothing more is read on this connection: what its requests hold is given back."""
+        self.requests.clear()
+        self.complete.clear()
+        self.held_bytes = 0
+
     def _read_whole_request(
         self, buffer: bytearray, start: int, end: int
     ) -> tuple[int, RequestReceived | ProtocolReply | None]:
--- a/hoistplank/routing/attempt_message.py
+++ b/hoistplank/routing/attempt_message.py
@@ -7,13 +7,17 @@
 from hoistplank.routing.attempts import Request
 
 
-def attempt_message(request: Request, action: SendAttempt) -> bytes:
-    """The bytes of an attempt. A cache host that is its own source is to fill nothing: no source is named."""
+def attempt_message(request: Request, action: SendAttempt, waited_us: int) -> bytes:
+    """The bytes of an attempt that begins `waited_us` after it was decided.
+
+    A cache host that is its own source is to fill nothing: no source is named.
+    """
     fields = {
         "queue": request.class_name,
         "path": request.object_key,
         "blk": str(request.part),
-        "budget": str(max(1, action.timeout_us // 1000)),
+        # Danger: a host that is given more than the client has left works for nobody.
+        "budget": str(max(1, (action.timeout_us - waited_us) // 1000)),
     }
     if request.idempotency_key:
         fields["uniq"] = request.idempotency_key
--- a/hoistplank/routing/attempts.py
+++ b/hoistplank/routing/attempts.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import NamedTuple, Protocol
 
@@ -11,6 +12,7 @@
 from hoistplank.routing.attempt_ending import ENDING_OF_FAILURE, ENDING_OF_STATUS, AttemptEnding
 from hoistplank.routing.clock import Clock
 from hoistplank.routing.endpoint_registry import EndpointRegistry
+from hoistplank.routing.standstill import StandstillDetector
 from hoistplank.transport.pooled_connection import PooledConnection
 from hoistplank.transport.pooled_request import RequestFailure
 
@@ -67,6 +69,7 @@
 
     clock: Clock
     endpoints: EndpointRegistry
+    standstills: StandstillDetector
     max_start_delay_us: int
 
     def submit(self, event: AttemptEnded) -> None:
@@ -80,13 +83,23 @@
     """One request on its way to one cache host, in the pool's hands; it reports its end to its owner once.
 
     `started_us` and `ended_us` are times of the sockets, not of the router task's turns: the loop's lag and a
-    connection's set-up are no part of what a cache host took.
+    connection's set-up are no part of what a cache host took. `encode_after` writes its message, given how
+    long (us) after the decision it begins.
     """
 
-    def __init__(self, owner: AttemptOwner, request: Request, action: SendAttempt, now: int) -> None:
+    def __init__(
+        self,
+        owner: AttemptOwner,
+        request: Request,
+        action: SendAttempt,
+        now: int,
+        encode_after: Callable[[int], bytes],
+    ) -> None:
+        self._encode_after = encode_after
         self.owner, self.request, self.id, self.number = owner, request, request.id, action.attempt
         self.host, self.source = action.host, action.source
         self.decided_us = now
+        self._standstills = owner.standstills.count  # until it was decided
         self.start_by_us = action.start_by_us
         self.decided_at = asyncio.get_running_loop().time()
         self.connection: PooledConnection | None = None
@@ -101,7 +114,9 @@
         dropped passes while a connection is not yet up, or while its writes are held up.
         """
         self.started_us = self.owner.clock.now()
-        # First: it may find that more has come from the change log, which changes what follows.
+        # After a standstill it is decided anew: the change log or the client may have said more meanwhile.
+        if self.owner.standstills.detect() != self._standstills:
+            return False
         if not self.owner.permits_attempts(self.started_us):
             return False
         if self.is_over or self.request.is_closed or not self.owner.endpoints.is_up(self.host):
@@ -112,6 +127,10 @@
             return False
         return self.started_us - self.decided_us <= self.owner.max_start_delay_us
 
+    def encode(self) -> bytes:
+        """Its message, with the time that its client has left as it begins."""
+        return self._encode_after(self.started_us - self.decided_us)
+
     def failed(self, failure: RequestFailure, /) -> None:
         """The pool ended it without an answer."""
         self._end(ENDING_OF_FAILURE[failure], None)
--- a/hoistplank/routing/client_session.py
+++ b/hoistplank/routing/client_session.py
@@ -134,7 +134,7 @@
                 self.has_sent_request = True
                 self.intake.answer_health_check(response)
                 return
-            request = self.intake.parse(response, fields, received)
+            request = self.intake.parse(response, fields, received, self._unread_for_us())
         except ProtocolError as error:
             self._refuse_bad_request(received, response, str(error))
             return
@@ -153,6 +153,12 @@
         else:
             self.frontend.router_task.submit(RequestArrived(request))
 
+    def _unread_for_us(self) -> int:
+        """For how long what has just been read may have lain unread; asked for where that can be long."""
+        if not self.frontend.router_task.standstills.is_recovering():
+            return 0
+        return self.connection.last_arrival_age_us()
+
     def _refuse_bad_request(
         self, received: fastcgi.FastCgiRequest, response: FastCgiResponse, error: str
     ) -> None:
@@ -213,14 +219,31 @@
             return
         self.given_up = True
         self.frontend.rate_limited_log.warning("client connection given up", wrong=reason)
+        self._fail_open_requests()
+        self.reader.forget_all()
+        self._count_held_bytes()
+        self.connection.stop_reading()
+        self.connection.close_gracefully()
+
+    def _fail_open_requests(self) -> None:
         for number, request in list(self.open_requests.items()):
             if request is not None:
                 request.response.fail()
                 self.frontend.router_task.submit(ClientDisconnected(request))
             self.open_requests.pop(number, None)
         self.deferred.clear()
-        self.connection.stop_reading()
-        self.connection.close_gracefully()
+
+    def release_memory(self) -> None:
+        """Requests hold too much memory, and this client's most: they are answered at once.
+
+        Danger: what else it has written lies unread, and each whole request is owed an answer: the connection
+        goes on, unless what it holds never becomes whole.
+        """
+        self.frontend.rate_limited_log.warning("requests hold too much memory", bytes=self.reader.held_bytes)
+        held_bytes = self.reader.held_bytes
+        self._fail_open_requests()
+        if self.reader.held_bytes > held_bytes // 2:
+            self.give_up("unfinished requests hold too much memory")
 
     def close_when_idle(self, *, even_if_silent: bool = True) -> None:
         """Ends this connection once all that is open on it has been answered, and the answers are out."""
@@ -238,12 +261,23 @@
             self.frontend.rate_limited_log.warning(
                 "client connection closed", wrong=str(error) or type(error).__name__
             )
+        self._disconnected()
+
+    def _disconnected(self) -> None:
+        """The client is gone: nobody waits for what is open here."""
         for request in self.open_requests.values():
             if request is not None:
                 self.frontend.router_task.submit(ClientDisconnected(request))
                 self.intake.ended(request)
         self.open_requests.clear()
 
+    def read_pending(self, max_reads: int) -> None:
+        """Reads what has come by now, an end included."""
+        self.connection.read_pending(max_reads)
+        if self.connection.is_closed:
+            # Danger: the connection's task ends some turns later, and attempts would be made until then.
+            self._disconnected()
+
     # What the frontend asks before it ends one.
 
     def has_unfinished_request(self) -> bool:
@@ -263,6 +297,10 @@
     def _owes_nothing(self) -> bool:
         return not (self.reader.requests or self.connection.unsent_bytes or self.has_unfinished_request())
 
+    def is_answered(self) -> bool:
+        """Whether every request that came whole has its answer, and the answers are with the system."""
+        return not (self.open_requests or self.connection.unsent_bytes)
+
     def is_silent(self) -> bool:
         """Whether nothing of a request has ever come."""
         return not (self.has_sent_request or self.open_requests or self.has_unfinished_request())
--- a/hoistplank/routing/frontend.py
+++ b/hoistplank/routing/frontend.py
@@ -25,6 +25,8 @@
 UNSENT_BYTES_PER_MB = 1 << 18
 HELD_BYTES_PER_MB = 1 << 17
 
+MAX_PENDING_READS = 16  # of a client, after a standstill
+
 HEALTH_SCRIPT = HEALTH_PATH.encode()
 
 
@@ -72,12 +74,17 @@
         return fastcgi.encode_response_without_body(number, self.shed_head)
 
     def count_held_bytes(self, more: int) -> None:
-        """Counts what unfinished and open requests hold; the largest holder goes when all hold too much."""
+        """Counts what unfinished and open requests hold; when all hold too much, those of the largest holder
+        are answered."""
         self.held_bytes += more
         if more > 0 and self.held_bytes > self.max_held_bytes:
             largest = max(self.sessions, key=lambda session: session.reader.held_bytes)
-            largest.give_up("requests hold too much memory")
-            largest.connection.close()
+            largest.release_memory()
+
+    def read_pending(self) -> None:
+        """Reads what clients with open requests have sent by now: after a standstill, some may have left."""
+        for session in [session for session in self.sessions if session.open_requests]:
+            session.read_pending(MAX_PENDING_READS)
 
     # The sweep.
 
@@ -159,7 +166,8 @@
 def _close_silent(sessions: list[ClientSession]) -> None:
     """Closes the older quarter of those given up or that never sent a request."""
     for session in sessions[: max(1, len(sessions) // 4)]:
-        if session.given_up or (session.is_idle() and session.is_silent()):
+        is_answered = session.given_up and not session.connection.unsent_bytes
+        if is_answered or (session.is_idle() and session.is_silent()):
             session.connection.close()
 
 
@@ -167,7 +175,7 @@
     """Closes the first without an open request that has been unfinished for half of the time that it has:
     what comes meanwhile may be a usual client's, read late."""
     for session in sessions:
-        if not session.open_requests and session.is_stalled(now, session.frontend.unfinished_timeout_s / 2):
+        if session.is_answered() and session.is_stalled(now, session.frontend.unfinished_timeout_s / 2):
             session.connection.close()
             return True
     return False
--- a/hoistplank/routing/request_intake.py
+++ b/hoistplank/routing/request_intake.py
@@ -52,9 +52,13 @@
         detail = self.health_detail().encode()
         response.send(200 if self.is_ready() else 503, (), detail)
 
-    def parse(self, response: FastCgiResponse, fields: dict[str, str], received: FastCgiRequest) -> Request:
-        """The request of these fields, received now; raises ProtocolError on one that can't be used."""
-        request = self.parser.parse(self.router_task.clock.now(), response, fields, bytes(received.body))
+    def parse(
+        self, response: FastCgiResponse, fields: dict[str, str], received: FastCgiRequest, unread_for_us: int
+    ) -> Request:
+        """The request of these fields, which came `unread_for_us` ago; raises ProtocolError on one that can't
+        be used."""
+        received_us = self.router_task.clock.now() - unread_for_us
+        request = self.parser.parse(received_us, response, fields, bytes(received.body))
         received.body, received.params = bytearray(), bytearray()
         return request
 
--- a/hoistplank/routing/router_task.py
+++ b/hoistplank/routing/router_task.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Callable
+from functools import partial
 from typing import Any
 
 from hoistplank.decision import events as decision_events
@@ -284,11 +285,8 @@
         self.router.handle(now, event)
 
     def permits_attempts(self, now: int) -> bool:
-        """Whether anything may be sent by the endpoint list that is held; asked at an attempt's first byte.
-
-        After a standstill it is decided anew: what the change log said meanwhile is with the Router by then.
-        """
-        return not self.standstills.check() and self.router.permits_attempts(now)
+        """Whether anything may be sent by the endpoint list; asked at an attempt's first byte."""
+        return self.router.permits_attempts(now)
 
     def _on_purge_received(self, now: int, event: PurgeReceived) -> None:
         age_us = max(0, now - event.made_us)
@@ -313,15 +311,14 @@
 
     def _send_attempt(self, now: int, action: SendAttempt) -> None:
         request = self.requests.by_id[action.request_id]
-        attempt = Attempt(self, request, action, now)
+        attempt = Attempt(self, request, action, now, partial(attempt_message, request, action))
         request.attempts[attempt.number] = attempt
         self.counts.attempts += 1
         loop = asyncio.get_running_loop()
         attempt.timer = loop.call_later(action.timeout_us / 1e6, self.submit, AttemptTimedOut(attempt))
         registered = self.endpoints.by_host.get(action.host)
         if self.pool is not None and registered is not None:
-            message = attempt_message(request, action)
-            attempt.connection = self.pool.send(action.host, registered.address, attempt, message)
+            attempt.connection = self.pool.send(action.host, registered.address, attempt)
         if attempt.connection is None:
             attempt.failed(RequestFailure.WITHHELD)
 
--- a/hoistplank/routing/standstill.py
+++ b/hoistplank/routing/standstill.py
@@ -2,11 +2,16 @@
 
 from __future__ import annotations
 
+import asyncio
 import time
 from collections.abc import Callable
 
-# Well within a drain's grace, and longer than the interval between the checks of an idle program (0.1 s).
-STANDSTILL_S = 0.18
+CHECK_INTERVAL_S = 0.04
+# Longer than the interval between checks, and less than what may pass between a client's end and an attempt
+# for it (0.1 s), or between a drain and what is sent to its host.
+STANDSTILL_S = 0.09
+# Timers run before sockets are read: for so long after a standstill, what came meanwhile may still be unread.
+RECOVERY_S = 0.05
 
 
 def _nothing_pending() -> None:
@@ -14,22 +19,38 @@
 
 
 class StandstillDetector:
-    """Calls `read_pending` in the first check after a standstill, before anything is decided.
+    """Calls `read_pending` in each check during a standstill's recovery, before anything is decided.
 
-    `check` is to be called several times a second, and before anything is sent by what is known.
+    `run` checks while nothing else does; `check` is called before anything is sent by what is known.
     """
 
     def __init__(self) -> None:
         self.read_pending: Callable[[], None] = _nothing_pending
         self.count = 0
         self._checked_at = time.monotonic()
+        self._recovering_until = 0.0
 
-    def check(self) -> bool:
-        """Whether the process stood still since the last check; what came meanwhile has been read then."""
+    async def run(self) -> None:
+        """Checks again and again, until it is cancelled."""
+        while True:
+            await asyncio.sleep(CHECK_INTERVAL_S)
+            self.check()
+
+    def detect(self) -> int:
+        """How often the process has stood still, until now."""
         now = time.monotonic()
-        elapsed_s, self._checked_at = now - self._checked_at, now
-        if elapsed_s <= STANDSTILL_S:
-            return False
-        self.count += 1
-        self.read_pending()
-        return True
+        if now - self._checked_at > STANDSTILL_S:
+            self.count += 1
+            self._recovering_until = now + RECOVERY_S
+        self._checked_at = now
+        return self.count
+
+    def is_recovering(self) -> bool:
+        """Whether the process has stood still until a moment ago."""
+        self.detect()
+        return self._checked_at < self._recovering_until
+
+    def check(self) -> None:
+        """During a recovery, has what came during the standstill read."""
+        if self.is_recovering():
+            self.read_pending()
--- a/hoistplank/transport/connection.py
+++ b/hoistplank/transport/connection.py
@@ -5,11 +5,15 @@
 import asyncio
 import contextlib
 import socket
+import sys
 from collections.abc import Callable
 
 from hoistplank.transport.errors import MessageTooLongError
 from hoistplank.transport.message_writer import ConnectionState, MessageWriter
 
+# Of `struct tcp_info`: eight single bytes, and eleven numbers before `tcpi_last_data_recv` (ms).
+LAST_DATA_RECEIVED_AT = 8 + 11 * 4
+TCP_INFO_BYTES = LAST_DATA_RECEIVED_AT + 4
 INITIAL_BUFFER_BYTES = 8_192  # most requests and answer lines fit
 # How long a connection whose write side is shut waits for the other side's end: what crosses the close is on
 # its way for 50 ms at most, and the other side's own close comes a way there and back later.
@@ -114,6 +118,17 @@
             if self.read_count == read_count:
                 return
 
+    def last_arrival_age_us(self) -> int:
+        """How long ago the system received the last bytes of the other side, read or not; 0 where it does not
+        tell (`struct tcp_info` of tcp(7))."""
+        try:
+            info = self.sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO_BYTES)
+        except OSError:
+            return 0
+        if len(info) < TCP_INFO_BYTES:
+            return 0
+        return int.from_bytes(info[LAST_DATA_RECEIVED_AT:TCP_INFO_BYTES], sys.byteorder) * 1_000
+
     def pause_reading(self, seconds: float) -> None:
         """Reads nothing for a while: what comes meanwhile is read in one go, and answered in one write."""
         if not self._reading_paused and not self.is_closed:
--- a/hoistplank/transport/message_writer.py
+++ b/hoistplank/transport/message_writer.py
@@ -29,6 +29,11 @@
     may_begin: Callable[[], bool] | None  # called just before the first byte; False: the message is left out
     on_written: Callable[[], None] | None  # called once the system has the last byte
     on_deferred: Callable[[], None] | None  # the system took no byte of it: `may_begin` is called again
+    encode: Callable[[], bytes] | None = None  # called once it may begin, for its bytes as of then
+
+    def begun(self) -> OutgoingMessage:
+        """The message with the bytes that are to be written now."""
+        return self if self.encode is None else self._replace(data=self.encode())
 
 
 class _PartialWrite(NamedTuple):
@@ -81,11 +86,12 @@
         may_begin: Callable[[], bool] | None = None,
         on_written: Callable[[], None] | None = None,
         on_deferred: Callable[[], None] | None = None,
+        encode: Callable[[], bytes] | None = None,
     ) -> None:
         """Writes a message after all that were sent before it; drops it where the connection is not open."""
         if self.state is not ConnectionState.OPEN:
             return
-        self._unsent.append(OutgoingMessage(data, may_begin, on_written, on_deferred))
+        self._unsent.append(OutgoingMessage(data, may_begin, on_written, on_deferred, encode))
         self.unsent_bytes += len(data)
         if not (self._flush_scheduled or self._awaits_writable):
             self._flush_scheduled = True
@@ -114,10 +120,11 @@
             # What does not begin is left out here, and what begins is with the system at once or asked again:
             # no message is decided on now and handed over later.
             waiting, self._unsent = self._unsent, deque()
-            batch = [message for message in waiting if message.may_begin is None or message.may_begin()]
+            batch = [
+                message.begun() for message in waiting if message.may_begin is None or message.may_begin()
+            ]
             plain = batch[0].data if len(batch) == 1 else b"".join([message.data for message in batch])
-            if len(batch) < len(waiting):
-                self.unsent_bytes -= sum([len(message.data) for message in waiting]) - len(plain)
+            self.unsent_bytes += len(plain) - sum([len(message.data) for message in waiting])
             data = self._encode(plain)
             try:
                 sent = self.sock.send(data) if data else 0
--- a/hoistplank/transport/pool.py
+++ b/hoistplank/transport/pool.py
@@ -50,9 +50,7 @@
         self.connections_per_host_set_at = self._swept_at = self.loop.time()
         descriptors.reclaimers[ConnectionKind.CACHE_HOST] = self.reclaim
 
-    def send(
-        self, host: str, address: tuple[str, int], request: PooledRequest, data: bytes
-    ) -> PooledConnection | None:
+    def send(self, host: str, address: tuple[str, int], request: PooledRequest) -> PooledConnection | None:
         """Sends a request on a free connection, else on a new one, else on the one with the fewest in flight.
 
         Danger: an answer that is spoiled or stalls ends all that shares its connection. Where connections end
@@ -73,7 +71,7 @@
                 connections.append(best)
             elif best is None or is_full:
                 return None
-        best.send(request, data)
+        best.send(request)
         return best
 
     def drain(self, host: str) -> None:
--- a/hoistplank/transport/pooled_connection.py
+++ b/hoistplank/transport/pooled_connection.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from typing import NamedTuple, Protocol
+from typing import Protocol
 
 from hoistplank.transport.connecting import connect_socket, open_tcp_socket
 from hoistplank.transport.connection import Connection, Consume
@@ -38,11 +38,6 @@
         """Its descriptor is free; called once."""
 
 
-class _QueuedRequest(NamedTuple):
-    request: PooledRequest
-    data: bytes
-
-
 class PooledConnection:
     """A connection that several requests share, each under its id."""
 
@@ -58,21 +53,21 @@
         self.connection: Connection | None = None
         self._started: set[str] = set()  # in flight, and the system may have a byte of them
         self._written: set[str] = set()  # in flight, and the system has them whole
-        self._queued: list[_QueuedRequest] = []  # until the connection is established
+        self._queued: list[PooledRequest] = []  # until the connection is established
         self._is_over, self._answer_spoiled = False, False
         self.task = pool.loop.create_task(self._run(), name=f"connection to cache host {host}")
         self.task.add_done_callback(self._on_task_done)
 
-    def send(self, request: PooledRequest, data: bytes) -> None:
+    def send(self, request: PooledRequest) -> None:
         """Writes a request, or keeps it until the connection is established."""
         self.in_flight[request.id] = request
         self.recent_ids.add(request.id)
         if self.connection is None:
-            self._queued.append(_QueuedRequest(request, data))
+            self._queued.append(request)
         else:
-            self._write(self.connection, request, data)
+            self._write(self.connection, request)
 
-    def _write(self, connection: Connection, request: PooledRequest, data: bytes) -> None:
+    def _write(self, connection: Connection, request: PooledRequest) -> None:
         request_id = request.id
 
         def may_begin() -> bool:
@@ -93,7 +88,7 @@
             if self.in_flight.get(request_id) is request:
                 self._started.discard(request_id)
 
-        connection.send(data, may_begin, on_written, on_deferred)
+        connection.send(b"", may_begin, on_written, on_deferred, request.encode)
 
     def finish(self, request_id: str) -> PooledRequest | None:
         """A request is over, by its answer or without one; a draining connection ends with its last."""
@@ -178,8 +173,8 @@
 
     async def _connect(self) -> RequestFailure | None:
         """Establishes the connection and writes what waits for it; None where that succeeded."""
-        sock = open_tcp_socket()
         try:
+            sock = open_tcp_socket()
             await connect_socket(sock, self.address, self.pool.connect_timeout_s)
         except TimeoutError:
             return RequestFailure.CONNECT_TIMED_OUT
@@ -190,8 +185,8 @@
         reader = self.pool.make_reader(self)
         self.connection = Connection(sock, reader, MAX_BUFFER_BYTES, MAX_UNSENT_BYTES)
         queued, self._queued = self._queued, []
-        for request, data in queued:
-            self._write(self.connection, request, data)
+        for request in queued:
+            self._write(self.connection, request)
         return None
 
     def _on_task_done(self, task: asyncio.Task[RequestFailure | None]) -> None:
--- a/hoistplank/transport/pooled_request.py
+++ b/hoistplank/transport/pooled_request.py
@@ -27,5 +27,8 @@
     def may_begin(self) -> bool:
         """Called just before its first byte is written; False: it is left out, and fails as WITHHELD."""
 
+    def encode(self) -> bytes:
+        """Called once it may begin: its bytes, as they are to be written now."""
+
     def failed(self, failure: RequestFailure, /) -> None:
         """It has ended without an answer."""
