--- a/hoistplank/store/folder.py
+++ b/hoistplank/store/folder.py
@@ -50,12 +50,16 @@
             raise FolderError(self.path, f"can't be written to ({error.strerror})") from error
         try:
             # Danger: two dispatchers writing one state would each cut off the other's changes.
-            fcntl.flock(self._lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+            self.take_lock(self._lock)
         except BlockingIOError as error:
             os.close(self._lock)
             self._lock = None
             raise FolderLockedError(self.path) from error
 
+    def take_lock(self, file: int) -> None:
+        """Locks a descriptor against other processes. Raises OSError, BlockingIOError where one holds it."""
+        fcntl.flock(file, fcntl.LOCK_EX | fcntl.LOCK_NB)
+
     def files(self) -> dict[int, set[str]]:
         """The generations that are there, each with the suffixes of its files; raises FolderError."""
         return list_generations(self.path)
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -19,7 +19,7 @@
 from hoistplank.cli.main import main
 from hoistplank.store import frames
 from hoistplank.store.background_writer import BackgroundWriter
-from hoistplank.store.errors import FolderLockedError
+from hoistplank.store.errors import FolderError, FolderLockedError, FrameError, FrameFault
 from hoistplank.store.folder import StateFolder
 from hoistplank.store.schemas import (
     PersistedChange,
@@ -274,6 +274,56 @@
     assert names(StateFolder(tmp_path).load().state) == ["a", "h0", "h1", "h2", "h3", "h4"]
 
 
+class FailingFolder(StateFolder):
+    """A folder whose next call of one kind fails by an error of the system, or for what it is given."""
+
+    def __init__(self, path: Path, call: str, error: Exception) -> None:
+        super().__init__(path)
+        self.call, self.errors = call, [error]
+
+    def fail(self, call: str) -> None:
+        if call == self.call and self.errors:
+            raise self.errors.pop()
+
+    def take_lock(self, file: int) -> None:
+        self.fail("lock")
+        super().take_lock(file)
+
+    def files(self) -> dict[int, set[str]]:
+        self.fail("files")
+        return super().files()
+
+    def snapshot(self, state: PersistedList) -> None:
+        self.fail("snapshot")
+        super().snapshot(state)
+
+
+FAILURES: dict[str, Exception] = {
+    "lock": OSError(errno.EIO, os.strerror(errno.EIO)),
+    "files": FolderError(Path("state"), "can't be read (Input/output error)"),
+    "snapshot": FrameError(FrameFault.TOO_LONG),
+}
+
+
+@pytest.mark.parametrize("call", FAILURES)
+def test_what_fails_for_a_moment_ends_no_writer(
+    tmp_path: Path, call: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """What was taken on is still owed once the disk is well again; a thread that ended would write nothing,
+    and nobody would notice."""
+    monkeypatch.setattr("hoistplank.store.background_writer.RETRY_AFTER_FAILURE_S", 0.01)
+    monkeypatch.setattr("hoistplank.store.background_writer.RETRY_LOCK_S", 0.01)
+    told = list[str]()
+    folder = FailingFolder(tmp_path, call, FAILURES[call])
+    writer = BackgroundWriter(folder, told.append, 0.0)
+    writer.start(None)
+    writer.replace(kept("a"))
+    until(lambda: writer.status.writes == 1)
+    writer.stop()
+    assert not folder.errors and told
+    assert names(StateFolder(tmp_path).load().state) == ["a"]
+
+
 def test_operators_look_at_it(tmp_path: Path) -> None:
     def call(*words: str) -> tuple[int, str]:
         done = CliRunner().invoke(main, ["state", *words])
