The store's writer outlives every failed call; xDS waits for the log's confirmation

Change: errors of the lock, of the listing under it and of what is to be written are reported and tried again; 'hoistplank control run' listens once the log has confirmed the list, or the longest wait is over.

--- a/hoistplank/cli/control.py
+++ b/hoistplank/cli/control.py
@@ -7,6 +7,7 @@
 import os
 import signal
 import sys
+from collections.abc import Awaitable
 from pathlib import Path
 from typing import TYPE_CHECKING
 
@@ -96,10 +97,12 @@
     service, ended = ControlService(configuration), asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         asyncio.get_running_loop().add_signal_handler(number, ended.set)
-    port = await service.serve(listen, credentials)
     log = structlog.get_logger()
-    log.info("control service", listen=listen, port=port, hosts=len(service.resources.hosts))
     running = asyncio.create_task(service.run(), name="control")
+    # Danger: hosts that drained before this start would be handed out as ready.
+    await _first_of(service.wait_until_confirmed(), ended.wait(), running)
+    port = await service.serve(listen, credentials)
+    log.info("control service", listen=listen, port=port, hosts=len(service.resources.hosts))
     while not ended.is_set() and not running.done():
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(look_every_s):
@@ -110,6 +113,17 @@
     await service.close()
 
 
+async def _first_of(*waits: Awaitable[object]) -> None:
+    """Returns with the first of these; those that were not tasks before are ended."""
+    tasks = [asyncio.ensure_future(wait) for wait in waits]
+    try:
+        await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+    finally:
+        for task, wait in zip(tasks, waits, strict=True):
+            if task is not wait:
+                task.cancel()
+
+
 def _log_followers(service: ControlService) -> None:
     import structlog
 
--- a/hoistplank/store/background_writer.py
+++ b/hoistplank/store/background_writer.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from hoistplank.store.errors import FolderError
+from hoistplank.store.errors import FolderError, StoreError
 from hoistplank.store.folder import StateFolder
 from hoistplank.store.schemas import PersistedChange, PersistedList, apply_changes, merge_changes
 
@@ -94,7 +94,8 @@
         while (pending := self._next_write()) is not None:
             try:
                 self._write(pending)
-            except (OSError, FolderError) as error:
+            except (OSError, StoreError) as error:
+                # Danger: whatever a write fails by, a thread that ended would keep nothing more, unseen.
                 self._write_failed(pending.state, str(error))
             else:
                 self._write_succeeded(pending.state)
@@ -109,7 +110,9 @@
         while True:
             try:
                 self.folder.lock()
+                generation = max(self.folder.files(), default=0)
             except FolderError as error:
+                self.folder.close()
                 if str(error) != reported:
                     reported = str(error)
                     self._report(reported)
@@ -119,7 +122,7 @@
                 continue
             with self._condition:
                 self._snapshot_pending |= self._state is not None and bool(reported)
-            self.folder.generation = max(self.folder.files(), default=0)
+            self.folder.generation = generation
             return True
 
     def _next_write(self) -> _PendingWrite | None:
--- a/hoistplank/store/folder.py
+++ b/hoistplank/store/folder.py
@@ -55,6 +55,10 @@
             os.close(self._lock)
             self._lock = None
             raise FolderLockedError(self.path) from error
+        except OSError as error:
+            os.close(self._lock)
+            self._lock = None
+            raise FolderError(self.path, f"can't be locked ({error.strerror})") from error
 
     def take_lock(self, file: int) -> None:
         """Locks a descriptor against other processes. Raises OSError, BlockingIOError where one holds it."""
--- a/hoistplank/xds/control.py
+++ b/hoistplank/xds/control.py
@@ -9,12 +9,19 @@
 
 import structlog
 
+from hoistplank.decision.list_confirmation import ListConfirmation
 from hoistplank.decision.settings import RouterSettings
 from hoistplank.program.configuration import Configuration
 from hoistplank.protocol.changelog import Target
 from hoistplank.routing.clock import Clock
 from hoistplank.routing.endpoint_watcher import EndpointWatcher
-from hoistplank.routing.events import EndpointListForm, EndpointsUpdated, Event, PurgeReceived
+from hoistplank.routing.events import (
+    EndpointListForm,
+    EndpointsUpdated,
+    EndpointWatchStageChanged,
+    Event,
+    PurgeReceived,
+)
 from hoistplank.xds.broadcaster import Broadcaster, StreamLimits
 from hoistplank.xds.discovery_service import discovery_server
 from hoistplank.xds.resource_messages import Host
@@ -23,6 +30,7 @@
 
 log = structlog.get_logger()
 TICK_S = 0.25
+CONFIRMATION_CHECK_S = 0.02
 STOP_S = 0.2  # for streams to end
 CACHES_TIER = "caches"
 MIN_SHARE = 0.05  # of a cold host's weight: it always gets some requests
@@ -72,6 +80,7 @@
         self.clock = Clock()
         self.resources = ResourceCache(configuration.router_settings.purge_hold_us)
         self.broadcaster = Broadcaster(self.resources, self.clock.now, limits)
+        self.list_confirmation = ListConfirmation(configuration.router_settings.rules.drain_grace_us)
         self.server: Any = None  # of grpc.aio, which has no types
         self.port = 0
         random = Random(configuration.seed)
@@ -85,6 +94,14 @@
             self.broadcaster.publish(changes, urgent=True)
         elif isinstance(event, EndpointsUpdated):
             self._update_hosts(event)
+        elif isinstance(event, EndpointWatchStageChanged):
+            self.list_confirmation.observe(self.clock.now(), event.stage)
+
+    async def wait_until_confirmed(self) -> None:
+        """Returns once the list may be handed out: the log has confirmed it, or the longest wait for that is
+        over. The log has to be followed meanwhile (`run`)."""
+        while not self.list_confirmation.permits_attempts(self.clock.now()):  # noqa: ASYNC110
+            await asyncio.sleep(CONFIRMATION_CHECK_S)  # no event tells that a wait is over
 
     def _update_hosts(self, event: EndpointsUpdated) -> None:
         now = self.clock.now()
