--- a/hoistplank/fakes/fault_proxy.py
+++ b/hoistplank/fakes/fault_proxy.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+from collections.abc import Callable
 from typing import Self
 
 CHUNK_BYTES = 65_536
@@ -25,6 +26,7 @@
         self.piece_bytes = CHUNK_BYTES
         self.piece_pause_s = 0.0
         self.connection_count = 0
+        self.on_connection: Callable[[], None] | None = None  # called as a connection's client has asked
         self._speaks = asyncio.Event()
         self._speaks.set()
         self._server: asyncio.Server | None = None
@@ -102,7 +104,10 @@
     ) -> None:
         with contextlib.suppress(OSError):
             while data := await reader.read(CHUNK_BYTES):
-                asked.set()
+                if not asked.is_set():
+                    asked.set()
+                    if self.on_connection is not None:
+                        self.on_connection()
                 server_writer.write(data)
                 await server_writer.drain()
 
--- a/hoistplank/routing/client_session.py
+++ b/hoistplank/routing/client_session.py
@@ -94,7 +94,7 @@
                     return start
                 for event in events:
                     if isinstance(event, fastcgi.RequestReceived):
-                        self._request_received(event.request)
+                        self._request_received(event.request, is_last=start == end)
                     elif isinstance(event, fastcgi.ProtocolReply):
                         self.connection.send(event.data)
                     else:
@@ -122,7 +122,8 @@
         self.counted_bytes = self.reader.held_bytes
         self.frontend.count_held_bytes(more)
 
-    def _request_received(self, received: fastcgi.FastCgiRequest) -> None:
+    def _request_received(self, received: fastcgi.FastCgiRequest, *, is_last: bool) -> None:
+        """`is_last`: nothing more has been read behind it."""
         response = FastCgiResponse(self, received.number, received.keep_connection)
         self.open_requests[received.number] = None
         self.whole_requests += 1
@@ -134,7 +135,7 @@
                 self.has_sent_request = True
                 self.intake.answer_health_check(response)
                 return
-            request = self.intake.parse(response, fields, received, self._unread_for_us())
+            request = self.intake.parse(response, fields, received, self._unread_for_us(is_last=is_last))
         except ProtocolError as error:
             self._refuse_bad_request(received, response, str(error))
             return
@@ -153,11 +154,16 @@
         else:
             self.frontend.router_task.submit(RequestArrived(request))
 
-    def _unread_for_us(self) -> int:
-        """For how long what has just been read may have lain unread; asked for where that can be long."""
-        if not self.frontend.router_task.standstills.is_recovering():
+    def _unread_for_us(self, *, is_last: bool) -> int:
+        """For how long what has just been read may have lain unread, where that can be long.
+
+        The system tells it of the last bytes alone; what stands before them may have come at any time of the
+        standstill.
+        """
+        standstills = self.frontend.router_task.standstills
+        if not standstills.is_recovering():
             return 0
-        return self.connection.last_arrival_age_us()
+        return self.connection.last_arrival_age_us() if is_last else int(standstills.last_duration_s * 1e6)
 
     def _refuse_bad_request(
         self, received: fastcgi.FastCgiRequest, response: FastCgiResponse, error: str
--- a/hoistplank/routing/standstill.py
+++ b/hoistplank/routing/standstill.py
@@ -27,6 +27,7 @@
     def __init__(self) -> None:
         self.read_pending: Callable[[], None] = _nothing_pending
         self.count = 0
+        self.last_duration_s = 0.0
         self._checked_at = time.monotonic()
         self._recovering_until = 0.0
 
@@ -41,6 +42,7 @@
         now = time.monotonic()
         if now - self._checked_at > STANDSTILL_S:
             self.count += 1
+            self.last_duration_s = now - self._checked_at
             self._recovering_until = now + RECOVERY_S
         self._checked_at = now
         return self.count
