--- a/hoistplank/cli/lab.py
+++ b/hoistplank/cli/lab.py
@@ -9,6 +9,7 @@
 from hoistplank.cli.lab_fleet import fleet
 from hoistplank.cli.lab_load import load
 from hoistplank.cli.lab_profile import profile
+from hoistplank.cli.lab_soak import soak
 from hoistplank.cli.scale import scale
 
 
@@ -25,5 +26,5 @@
     """
 
 
-for command in (compare, day, days, fleet, load, profile, report, run, scale):
+for command in (compare, day, days, fleet, load, profile, report, run, scale, soak):
     lab.add_command(command)
--- /dev/null
+++ b/hoistplank/cli/lab_soak.py
@@ -0,0 +1,65 @@
+"""`hoistplank lab soak`: dispatcher processes under seeded mixes of faults."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import sys
+from pathlib import Path
+from typing import TYPE_CHECKING
+
+import click
+
+if TYPE_CHECKING:
+    from hoistplank.lab.fleet.soak.run import SoakResult
+
+BROKEN, VOID = 1, 3  # exit codes
+
+
+@click.command()
+@click.option("--seed", "seeds", multiple=True, type=click.IntRange(0), help="May stand several times.")
+@click.option("--seeds", "count", type=click.IntRange(1), default=8, show_default=True, help="1 to so many.")
+@click.option("--at-once", type=click.IntRange(1, 16), default=max(1, (os.cpu_count() or 1) // 2))
+@click.option("--keep", type=click.Path(), help="A folder in which the dispatchers' files and logs stay.")
+@click.option("--build", default="", help="A faulty build, to see that a checker fires.")
+@click.option("--json", "as_json", is_flag=True, help="A JSON object a run.")
+def soak(
+    seeds: tuple[int, ...], count: int, at_once: int, keep: str | None, build: str, as_json: bool
+) -> None:
+    """Play seeded mixes of faults on real dispatcher processes, and judge them by what was really sent.
+
+    Exit code 0: every rule was kept. 1: one was broken. 3: the machine was too slow to tell.
+    """
+    from hoistplank.lab.fleet.soak import runner
+    from hoistplank.lab.fleet.soak.build import BUILDS
+
+    if build and build not in BUILDS:
+        raise click.BadParameter(f"one of: {', '.join(BUILDS)}", param_hint="--build")
+
+    def report(result: SoakResult) -> None:
+        click.echo(json.dumps(result._asdict()) if as_json else _line(result))
+
+    folder = Path(keep) if keep else None
+    work = runner.play_seeds(seeds or range(1, count + 1), at_once, build, folder, report)
+    try:
+        results = asyncio.run(work)
+    except runner.SoakBrokeError as error:
+        raise click.ClickException(str(error)) from None
+    except KeyboardInterrupt:
+        raise click.ClickException("interrupted; nothing of it is left") from None
+    if any(result.violations for result in results):
+        sys.exit(BROKEN)
+    sys.exit(VOID if any(result.is_void for result in results) else 0)
+
+
+def _line(result: SoakResult) -> str:
+    verdict = "BROKEN" if result.violations else "void" if result.is_void else "held"
+    served = result.counts.get("status 200", 0)
+    rejected = result.counts.get("status 503", 0) + result.counts.get("status 502", 0)
+    faults = ", ".join(f"{count} {name}" for name, count in sorted(result.faults.items()))
+    head = (
+        f"seed {result.seed}: {verdict}, {result.dispatchers} dispatchers, {served} served, "
+        f"{rejected} rejected or failed, rig {result.late_ms} ms late; {faults}"
+    )
+    return "\n".join([head, *(f"  {violation}" for violation in result.violations)])
--- a/hoistplank/decision/list_confirmation.py
+++ b/hoistplank/decision/list_confirmation.py
@@ -65,8 +65,10 @@
             self._asked(now_us)
 
     def _refused(self, now_us: int) -> None:
-        self.is_unreachable = True
-        if now_us - self._asked_us > RENEWED_WAIT_US:
+        """Nobody listens. Danger: one that was asked and has gone without an answer may have had a drain to
+        tell: what it owes is waited for all the same."""
+        if self._asked_us == NEVER_US or now_us - self._asked_us > RENEWED_WAIT_US:
+            self.is_unreachable = True
             self._asked_us = NEVER_US
 
     def _asked(self, now_us: int) -> None:
--- a/hoistplank/lab/fleet/soak/dispatcher.py
+++ b/hoistplank/lab/fleet/soak/dispatcher.py
@@ -26,6 +26,7 @@
 BUILD_VARIABLE = "HOISTPLANK_SOAK_BUILD"  # names a faulty build, for the checkers
 COMMAND = ("-m", "hoistplank.lab.fleet.soak.build")
 READY_S = 10.0
+FRESH_S = [60.0, 0.0]  # by traffic class: a run's copies stay fresh, but for purges
 LONGEST_DEADLINE_S = 3.0
 KILL_AFTER_S = LONGEST_DEADLINE_S + 0.7  # from SIGTERM, at its earliest
 NEW_CONNECTIONS_S = 0.3  # for which the front still sends new connections after SIGTERM
@@ -54,6 +55,7 @@
         self.clients = SoakClients(number, random, truth, now)
         self.process: asyncio.subprocess.Process | None = None
         self.is_stopping = False  # its end is ours
+        self.is_ready = False  # whether the process handles signals by now
         self.plan = FaultPlan()
         self.known: dict[str, Any] = {}
         self.starts = 0
@@ -106,7 +108,7 @@
             "changelog": f"127.0.0.1:{self.proxy.port}",
             "seed": f"{self.number * 100 + self.starts:x}",
             "limits": {"sockets": 512, "memory_mb": 96},
-            "settings": deployment_settings(),
+            "settings": deployment_settings(**{"family_info.lifetime_by_class": FRESH_S}),
             "known": self.known,
         }
         (self.folder / f"dispatcher-{self.number}.json").write_text(json.dumps(configuration))
@@ -114,7 +116,7 @@
 
     async def start(self, known: dict[str, Any]) -> None:
         """Starts the process with the list `known`, and waits until it is ready."""
-        self.known, self.is_stopping = known, False
+        self.known, self.is_stopping, self.is_ready = known, False, False
         self._write_files()
         own = ("EDGE_", "HOISTPLANK_")
         environment = {name: value for name, value in os.environ.items() if not name.startswith(own)}
@@ -146,14 +148,16 @@
                     status = (await client.read_answer())[1]
                     client.writer.close()
                 if status == 200:
+                    self.is_ready = True
                     self.truth.counts["starts"] += 1
                     return
             await asyncio.sleep(HEALTH_CHECK_S)
         self.truth.broke(Rule.PROCESS, self.now(), f"dispatcher {self.number} not ready within {READY_S} s")
 
     def is_running(self) -> bool:
-        """Whether the process is there, and its end is not begun."""
-        return self.process is not None and self.process.returncode is None and not self.is_stopping
+        """Whether the process is there and ready, and its end is not begun."""
+        process = self.process
+        return process is not None and process.returncode is None and self.is_ready and not self.is_stopping
 
     def send_signal(self, number: signal.Signals) -> None:
         """Sends a signal to the process, if it is there."""
@@ -164,7 +168,8 @@
         """Has calls of the process fail, or steps its clock."""
         self.plan = plan
         self.plan_file.write_bytes(msgspec.json.encode(plan))
-        self.send_signal(signal.SIGUSR1)
+        if self.is_ready:
+            self.send_signal(signal.SIGUSR1)
 
     async def crash(self) -> None:
         """SIGKILL."""
--- a/hoistplank/lab/fleet/soak/plan.py
+++ b/hoistplank/lab/fleet/soak/plan.py
@@ -12,6 +12,7 @@
 FEW_DISPATCHERS, CROWDED_DISPATCHERS = 3, 12
 CROWDED_SHARE = 0.15  # of the runs
 LEAST_FAULTS, MOST_FAULTS = 5, 9
+LEAST_PURGES = 8
 # A log that was asked owes its answer within 3 s: silence that is longer is an outage, of which a refused
 # connection is the form that dispatchers can tell at once.
 MOST_SILENCE_S = 2.4
@@ -102,6 +103,11 @@
         Fault(at_s + 0.05, FaultKind.CRASH, victim, 0.3),
         Fault(at_s + random.uniform(0.1, 0.4), FaultKind.DRAIN, random.randrange(1_000), 0.0),
     ]
+    # And one planned restart, and purges of objects that are asked for again.
+    faults.append(Fault(random.uniform(RUN_S / 4, RUN_S / 2), FaultKind.RETIRE, victim + 1, 0.0))
+    for _ in range(LEAST_PURGES):
+        at_s = random.uniform(WARM_S, RUN_S / 3)
+        faults.append(Fault(at_s, FaultKind.PURGE, random.randrange(1_000), 0.0))
     faults.sort(key=lambda fault: fault.at_s)
     return SoakPlan(seed, CROWDED_DISPATCHERS if is_crowded else FEW_DISPATCHERS, is_crowded, faults)
 
--- a/hoistplank/lab/fleet/soak/run.py
+++ b/hoistplank/lab/fleet/soak/run.py
@@ -96,10 +96,10 @@
         return entry | {"boot_ms": server.boot_ms}
 
     def known(self) -> dict[str, Any]:
-        """The list as of now, as a configuration has it."""
+        """The list and the purges as of now, as a configuration has them."""
         listed = [self._entry(server) for server in self.servers if server.state != "gone"]
-        event = fleet_event(self.seq, listed, whole=True)
-        return {"seq": self.seq, "results": [event]}
+        purges = [event for event in self.change_log.events if "invalidate" in event]
+        return {"seq": self.seq, "results": [*purges, fleet_event(self.seq, listed, whole=True)]}
 
     def _publish(self, **event: Any) -> None:
         self.seq += 1
--- a/hoistplank/routing/client_session.py
+++ b/hoistplank/routing/client_session.py
@@ -163,7 +163,10 @@
         standstills = self.frontend.router_task.standstills
         if not standstills.is_recovering():
             return 0
-        return self.connection.last_arrival_age_us() if is_last else int(standstills.last_duration_s * 1e6)
+        if is_last:
+            return self.connection.last_arrival_age_us()
+        since_read_s = asyncio.get_running_loop().time() - self.connection.previous_read_at
+        return int(min(standstills.last_duration_s, since_read_s) * 1e6)
 
     def _refuse_bad_request(
         self, received: fastcgi.FastCgiRequest, response: FastCgiResponse, error: str
--- a/hoistplank/routing/endpoint_watcher.py
+++ b/hoistplank/routing/endpoint_watcher.py
@@ -29,6 +29,7 @@
 from hoistplank.transport.connection import Connection, Consume
 
 SILENCE_TIMEOUT_S = 2.2  # a number comes each second: two missed and some
+MAX_SILENCE_FACTOR = 4  # for a log that has answered no connection lately: it may be crowded
 STALL_TIMEOUT_S = 0.3  # a line is written in one go: one that has begun and moves no more has broken off
 CHECK_INTERVAL_S = 0.1
 MAX_BUFFERED_BYTES = changelog.MAX_LINE_BYTES + 65_536  # the longest line, and what comes behind it
@@ -93,6 +94,7 @@
         self.stage: EndpointWatchStage | None = None  # as last reported
         self.confirmed_at = 0.0  # loop time of the last number that said that nothing is missing; 0: never
         self._asked_at = 0.0
+        self._unanswered = 0  # connections in a row on which nothing came in its order
         self._questions = 0  # asked since sight of the log was lost
         self.is_log_behind = False  # whether the log says a number below ours
         self.numbering_restarted = False  # whether it counts from 1 again since we began
@@ -186,6 +188,16 @@
             self._questions = 0
             self._enter_stage(EndpointWatchStage.CONFIRMED)
 
+    def _silence_timeout_s(self) -> float:
+        """For how long nothing may come on this connection.
+
+        Danger: a log that is crowded and answers later than that would be asked again and again, and never
+        heard. Once it has answered, its seconds count.
+        """
+        if self.is_current:
+            return SILENCE_TIMEOUT_S
+        return SILENCE_TIMEOUT_S * min(MAX_SILENCE_FACTOR, 1 + self._unanswered)
+
     def _should_ask_again(self, connection: Connection) -> bool:
         """Whether events have come, nothing follows them, and the log has not said that these were all."""
         if self.stage is EndpointWatchStage.CONFIRMED or not self.is_current:
@@ -327,10 +339,12 @@
                 stalled_s, heard_at = 0.0, connection.last_read_at
             if self._should_ask_again(connection):
                 return ASK_AGAIN
-            if silent_s > SILENCE_TIMEOUT_S or stalled_s > self.stall_timeout_s:
+            is_silent = silent_s > self._silence_timeout_s()
+            if is_silent or stalled_s > self.stall_timeout_s:
                 # Danger: half an event may be a drain, and the rest of it never comes here; whoever asks
                 # anew gets it at once.
                 connection.close()
                 await asyncio.wait((task,))
-                return "its seconds stay away" if silent_s > SILENCE_TIMEOUT_S else "a line of it broke off"
+                self._unanswered = 0 if self.is_current else self._unanswered + 1
+                return "its seconds stay away" if is_silent else "a line of it broke off"
         return ""
--- a/hoistplank/routing/standstill.py
+++ b/hoistplank/routing/standstill.py
@@ -10,8 +10,9 @@
 # Longer than the interval between checks, and less than what may pass between a client's end and an attempt
 # for it (0.1 s), or between a drain and what is sent to its host.
 STANDSTILL_S = 0.09
-# Timers run before sockets are read: for so long after a standstill, what came meanwhile may still be unread.
-RECOVERY_S = 0.05
+# For so long after a standstill, what came meanwhile may still be unread: timers run before sockets are read,
+# and clients that connected meanwhile are still to be accepted.
+RECOVERY_S = 0.25
 
 
 def _nothing_pending() -> None:
--- a/hoistplank/transport/pool.py
+++ b/hoistplank/transport/pool.py
@@ -11,8 +11,8 @@
 from hoistplank.transport.pooled_connection import ANSWER_STALL_S, PooledConnection
 from hoistplank.transport.pooled_request import PooledRequest
 
-# Connections to one cache host: few on calm days, since each costs both sides a call for every message; up to
-# many, where descriptors allow, once connections end with requests on them.
+# Connections to one cache host: few at first, since a new one may come up late or never, and a request that
+# waits for it is late; up to many, where descriptors allow, once connections end with requests on them.
 MIN_CONNECTIONS_PER_HOST, MAX_CONNECTIONS_PER_HOST = 2, 32
 CALM_S = 10.0  # without such an end, before half as many are opened again
 # Closed well before the cache host does it: a request that crosses its close would be lost.
--- a/tests/test_endpoint_watcher.py
+++ b/tests/test_endpoint_watcher.py
@@ -232,6 +232,53 @@
     run_scene(scene())
 
 
+@pytest.mark.usefixtures("short_silence")
+def test_a_log_that_answers_late_is_heard_all_the_same() -> None:
+    """Asked again before it could answer, it would never be heard, however long it is waited for."""
+
+    async def scene() -> None:
+        asked = list[int]()
+
+        async def talk(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            asked.append(int((await reader.readline()).split()[1]))
+            await asyncio.sleep(0.5)  # of which a log may usually be silent for 0.2 s
+            writer.write(b"1\n")
+            await reader.read()
+
+        told = EventRecorder()
+        known = snapshot(1, endpoint_event(1, whole=True))
+        log = EndpointWatcher(told, ("127.0.0.1", await serve(talk)), known, Random(1))
+        async with running(log):
+            await until(lambda: told.stages[-1] is EndpointWatchStage.CONFIRMED)
+            assert asked == [1, 1, 1]
+
+    run_scene(scene())
+
+
+@pytest.mark.usefixtures("short_silence")
+def test_events_without_a_number_are_confirmed_by_another_question() -> None:
+    """The first of several events says nothing of those behind it."""
+
+    async def scene() -> None:
+        asked = list[int]()
+
+        async def talk(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            asked.append(int((await reader.readline()).split()[1]))
+            writer.write(endpoint_event(2, state="draining") if asked[-1] == 1 else b"2\n")
+            await reader.read()
+
+        told = EventRecorder()
+        known = snapshot(1, endpoint_event(1, whole=True))
+        log = EndpointWatcher(told, ("127.0.0.1", await serve(talk)), known, Random(1))
+        async with running(log):
+            await until(lambda: log.last_seq == 2)
+            assert told.stages[-1] is EndpointWatchStage.AWAITING_ANSWER
+            await until(lambda: told.stages[-1] is EndpointWatchStage.CONFIRMED)
+            assert asked == [1, 2] and len(told.events) == 2  # nothing was lost on the way
+
+    run_scene(scene())
+
+
 @pytest.mark.usefixtures("short_silence")
 def test_a_standstill_of_our_own_is_not_taken_for_the_logs_silence() -> None:
     async def scene() -> None:
