--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 SETUP = test -d $(1) || python3 -m venv $(1)
 DEV = .venv-dev/bin
 
-.PHONY: build service lab dev test lint run demo bench-callers bench-store bench-discovery bench-lab bench-levels bench-xds bench-fleet bench-scale control
+.PHONY: build service lab dev test lint run demo bench-callers bench-store bench-discovery bench-lab bench-levels bench-xds bench-fleet bench-scale bench-soak control
 
 build:
 	$(call SETUP,.venv)
@@ -58,3 +58,6 @@
 
 bench-scale: dev
 	$(DEV)/python -m benchmarks.scale
+
+bench-soak: dev
+	$(DEV)/python -m benchmarks.soak
