--- a/hoistplank/__main__.py
+++ b/hoistplank/__main__.py
@@ -13,6 +13,8 @@
     from hoistplank.program.configuration import Configuration
     from hoistplank.program.extension_protocol import Extensions
 
+DESCRIPTORS_WAIT_S, DESCRIPTORS_RETRY_S = 2.0, 0.05
+
 
 def main() -> int:
     """Runs the dispatcher until it has ended; returns the exit code of docs/on-call.md."""
@@ -44,6 +46,27 @@
     return _serve(configuration, early, extensions)
 
 
+def _wait_for_descriptors() -> None:
+    """Waits while the system has no descriptor or buffer for a moment: the event loop can't begin without."""
+    import errno
+    import socket
+    import time
+
+    passing = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
+    until = time.monotonic() + DESCRIPTORS_WAIT_S
+    while time.monotonic() < until:
+        try:
+            pair = socket.socketpair()
+        except OSError as error:
+            if error.errno not in passing:
+                return
+            time.sleep(DESCRIPTORS_RETRY_S)
+        else:
+            for sock in pair:
+                sock.close()
+            return
+
+
 def _serve(configuration: Configuration, early_signals: list[int], extensions: Extensions | None) -> int:
     import asyncio
     import os
@@ -54,6 +77,8 @@
     from hoistplank.program.configuration import reread_configuration
     from hoistplank.program.service import Service
 
+    _wait_for_descriptors()
+
     async def run_service() -> int:
         service = Service(configuration, lambda: reread_configuration(os.environ), early_signals, extensions)
         return await service.run()
--- a/hoistplank/fakes/faulty_system.py
+++ b/hoistplank/fakes/faulty_system.py
@@ -59,8 +59,10 @@
 
     def _failing(self, name: str, call: Callable[..., Any]) -> Callable[..., Any]:
         def replaced(*words: Any, **named: Any) -> Any:
+            # An object for a descriptor that is there, as `accept` makes one, asks the system for nothing.
+            wraps_descriptor = name == "socket" and (len(words) > 4 or named.get("fileno") is not None)
             planned = self.plan.failures.get(name)
-            if planned:
+            if planned and not wraps_descriptor:
                 number = getattr(errno, planned.pop(0))
                 raise OSError(number, os.strerror(number))
             if self.plan.max_io_bytes and name in ("send", "recv_into"):
--- a/hoistplank/routing/endpoint_watcher.py
+++ b/hoistplank/routing/endpoint_watcher.py
@@ -37,9 +37,11 @@
 CONNECT_TIMEOUT_S = 1.0
 # Reads from the socket in one go, of 8 KB and more each: a batch of events is known before the next turn.
 # Events without a number behind them may be the first of several. A log that is asked anew says its number at
-# once, which is sooner than the next second: so long after the last byte, and so often in a row.
+# once, which is sooner than the next second: so long after the last byte, and so often in a row. One that
+# answered late is crowded, and is not asked more often for that.
 SETTLED_S = 0.04
 MAX_QUESTIONS = 3
+QUICK_ANSWER_S = 0.3
 MAX_READS_AT_ONCE = 16
 MAX_PENDING_READS = 1_024  # after a standstill
 ASK_AGAIN = (
@@ -94,6 +96,7 @@
         self.stage: EndpointWatchStage | None = None  # as last reported
         self.confirmed_at = 0.0  # loop time of the last number that said that nothing is missing; 0: never
         self._asked_at = 0.0
+        self._answered_at = 0.0  # when the first message in order came on this connection
         self._unanswered = 0  # connections in a row on which nothing came in its order
         self._questions = 0  # asked since sight of the log was lost
         self.is_log_behind = False  # whether the log says a number below ours
@@ -153,6 +156,8 @@
             is_in_order = self._receive_position(message.seq)
         else:
             is_in_order = self._receive_event(message)
+        if is_in_order and not self.is_current:
+            self._answered_at = asyncio.get_running_loop().time()
         if is_in_order:
             self.is_current, self.is_log_behind = True, False
             self.progress_count += 1
@@ -202,6 +207,8 @@
         """Whether events have come, nothing follows them, and the log has not said that these were all."""
         if self.stage is EndpointWatchStage.CONFIRMED or not self.is_current:
             return False
+        if self._answered_at - self._asked_at > QUICK_ANSWER_S:
+            return False
         has_settled = asyncio.get_running_loop().time() - connection.last_read_at > SETTLED_S
         return has_settled and not connection.has_partial_message and self._questions < MAX_QUESTIONS
 
--- a/tests/test_cache_host_attempts.py
+++ b/tests/test_cache_host_attempts.py
@@ -4,7 +4,9 @@
 
 import asyncio
 import copy
+import errno
 import gc
+import os
 import socket
 from collections.abc import Callable
 from pathlib import Path
@@ -306,3 +308,36 @@
             assert int(fields["budget"]) <= left_ms + 50
 
     run_scene(scene())
+
+
+@pytest.mark.parametrize("number", [errno.ETIMEDOUT, errno.EHOSTUNREACH, errno.ECONNREFUSED, errno.EPIPE])
+def test_an_error_of_a_connection_that_was_up_proves_nothing(
+    tmp_path: Path, number: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Only a connection that was refused as it was made proves that nothing ran there."""
+
+    async def scene() -> None:
+        box, origin = ScriptedCacheHost(silent), ScriptedCacheHost(silent)
+        async with SteadyDispatcher(tmp_path, {"a": box, "o": origin}) as dispatcher:
+            router_task, endings = dispatcher.service.router_task, list[AttemptEnding]()
+            router_task.attempt_observer = lambda _attempt, ending: endings.append(ending)
+            dispatcher.client.send(1, "booking", {"HTTP_X_OPERATION_KEY": "5c" * 16})
+            await until(lambda: bool(origin.requests))
+            pool = router_task.pool
+            assert pool is not None
+            connection = pool.connections["o"][0].connection
+            assert connection is not None
+            error = OSError(number, os.strerror(number))
+            monkeypatch.setattr(connection, "_read_from_socket", recorded_raise(error))
+            connection.read_now()
+            await until(lambda: bool(endings))
+            assert endings[0] is AttemptEnding.CONNECTION_LOST
+
+    run_scene(scene())
+
+
+def recorded_raise(error: OSError) -> Callable[[], None]:
+    def raising() -> None:
+        raise error
+
+    return raising
--- a/tests/test_system_failures.py
+++ b/tests/test_system_failures.py
@@ -73,3 +73,42 @@
 @pytest.mark.parametrize("step_s", [-HOUR_S, -5.0])
 def test_a_wall_clock_that_is_set_back_ends_no_request(tmp_path: Path, step_s: float) -> None:
     run_scene(requests_outlive_a_step(tmp_path, step_s))
+
+
+async def requests_outlive_failures(folder: Path, plan: FaultPlan) -> None:
+    """Has calls fail while requests come over connections of their own: each is answered, most are served."""
+    async with faulty_deployment(folder) as place:
+        place.plan(plan)
+        statuses = list[int]()
+        for number in range(1, 40):
+            client = await place.client()
+            statuses.append(await ask(client, number))
+            client.writer.close()
+        assert set(statuses) <= {200, 503} and statuses.count(200) > 30
+        assert place.process is not None and place.process.returncode is None
+        assert "Traceback" not in place.log_text()
+
+
+FAILING = {
+    "accept": ["ECONNABORTED", "EMFILE", "ENFILE", "ENOBUFS"],
+    "socket": ["ENFILE", "ENOBUFS"],
+    "connect": ["EADDRNOTAVAIL", "ENETUNREACH", "ETIMEDOUT", "EHOSTUNREACH"],
+}
+
+
+@pytest.mark.parametrize("call", FAILING)
+def test_calls_that_fail_for_a_moment_lose_no_request(tmp_path: Path, call: str) -> None:
+    run_scene(requests_outlive_failures(tmp_path, FaultPlan(failures={call: FAILING[call]})))
+
+
+def test_short_reads_and_writes_change_nothing(tmp_path: Path) -> None:
+    run_scene(requests_outlive_failures(tmp_path, FaultPlan(max_io_bytes=500)))
+
+
+def test_a_process_that_finds_no_descriptor_at_its_start_waits_for_one(tmp_path: Path) -> None:
+    async def scene() -> None:
+        plan = FaultPlan(failures={"socket": ["ENFILE", "ENOBUFS", "EMFILE"]})
+        async with faulty_deployment(tmp_path, plan) as place:
+            assert await ask(await place.client(), 1) == 200
+
+    run_scene(scene())
