--- a/hoistplank/__main__.py
+++ b/hoistplank/__main__.py
@@ -47,7 +47,7 @@
 
 
 def _wait_for_descriptors() -> None:
-    """Waits while the system has no descriptor or buffer for a moment: the event loop can't begin without."""
+    """Waits while the system has no descriptor or buffer for a moment: nothing can begin without."""
     import errno
     import socket
     import time
@@ -56,14 +56,13 @@
     until = time.monotonic() + DESCRIPTORS_WAIT_S
     while time.monotonic() < until:
         try:
-            pair = socket.socketpair()
+            sock = socket.socket()
         except OSError as error:
             if error.errno not in passing:
                 return
             time.sleep(DESCRIPTORS_RETRY_S)
         else:
-            for sock in pair:
-                sock.close()
+            sock.close()
             return
 
 
