--- a/tests/test_endpoint_watcher.py
+++ b/tests/test_endpoint_watcher.py
@@ -16,7 +16,7 @@
 
 from hoistplank.fakes.change_log import FakeChangeLog
 from hoistplank.fakes.settings import endpoint_entry, fleet_event
-from hoistplank.fakes.wire import ScriptedCacheHost, serve
+from hoistplank.fakes.wire import ConnectionHandler, ScriptedCacheHost, serve
 from hoistplank.program.phase import Phase
 from hoistplank.protocol.changelog import Event, Fleet, Snapshot
 from hoistplank.routing import endpoint_watcher as watching
@@ -66,6 +66,16 @@
         await asyncio.gather(task, return_exceptions=True)
 
 
+@contextlib.asynccontextmanager
+async def followed(talk: ConnectionHandler) -> AsyncIterator[tuple[EndpointWatcher, EventRecorder]]:
+    """A watcher that knows a list up to number 1, and follows a log that talks as `talk` does."""
+    told = EventRecorder()
+    known = snapshot(1, endpoint_event(1, whole=True))
+    watcher = EndpointWatcher(told, ("127.0.0.1", await serve(talk)), known, Random(1))
+    async with running(watcher):
+        yield watcher, told
+
+
 @pytest.fixture
 def short_silence(monkeypatch: pytest.MonkeyPatch) -> None:
     """A log counts as silent after 0.2 s."""
@@ -100,10 +110,7 @@
                 writer.write(first + endpoint_event(2, state="draining") + b"2\n")
             await reader.read()
 
-        told = EventRecorder()
-        known = snapshot(1, endpoint_event(1, whole=True))
-        log = EndpointWatcher(told, ("127.0.0.1", await serve(talk)), known, Random(1))
-        async with running(log):
+        async with followed(talk) as (log, told):
             await until(lambda: log.last_seq == 2)
             # A log that counts anew is asked for all it has; any other goes on from where we are.
             assert asked == [1, 0 if how.startswith("a number behind ours") else 1]
@@ -152,9 +159,7 @@
                 writer.write(number % 1)
                 await asyncio.sleep(0.05)
 
-        known = snapshot(1, endpoint_event(1, whole=True))
-        log = EndpointWatcher(EventRecorder(), ("127.0.0.1", await serve(talk)), known, Random(1))
-        async with running(log):
+        async with followed(talk) as (log, _):
             await until(lambda: log.progress_count > 20)
             assert asked == [1]
 
@@ -176,10 +181,7 @@
             broke.append(loop.time())
             await reader.read()
 
-        told = EventRecorder()
-        known = snapshot(1, endpoint_event(1, whole=True))
-        log = EndpointWatcher(told, ("127.0.0.1", await serve(talk)), known, Random(1))
-        async with running(log):
+        async with followed(talk) as (log, told):
             await until(lambda: log.last_seq == 2)
             assert asked == [1, 1] and loop.time() - broke[0] < 1.0
             assert told.events[-1].targets[0].state == "draining"
@@ -199,10 +201,7 @@
             writer.write(number if len(asked) == 1 else endpoint_event(2, state="draining") + number)
             await reader.read()
 
-        told = EventRecorder()
-        known = snapshot(1, endpoint_event(1, whole=True))
-        log = EndpointWatcher(told, ("127.0.0.1", await serve(talk)), known, Random(1))
-        async with running(log):
+        async with followed(talk) as (log, told):
             await until(lambda: log.last_seq == 2)
             assert asked == [1, 1] and told.events[-1].targets[0].state == "draining"
 
@@ -245,10 +244,7 @@
             writer.write(b"1\n")
             await reader.read()
 
-        told = EventRecorder()
-        known = snapshot(1, endpoint_event(1, whole=True))
-        log = EndpointWatcher(told, ("127.0.0.1", await serve(talk)), known, Random(1))
-        async with running(log):
+        async with followed(talk) as (log, told):
             await until(lambda: told.stages[-1] is EndpointWatchStage.CONFIRMED)
             assert asked == [1, 1, 1]
 
@@ -267,10 +263,7 @@
             writer.write(endpoint_event(2, state="draining") if asked[-1] == 1 else b"2\n")
             await reader.read()
 
-        told = EventRecorder()
-        known = snapshot(1, endpoint_event(1, whole=True))
-        log = EndpointWatcher(told, ("127.0.0.1", await serve(talk)), known, Random(1))
-        async with running(log):
+        async with followed(talk) as (log, told):
             await until(lambda: log.last_seq == 2)
             assert told.stages[-1] is EndpointWatchStage.AWAITING_ANSWER
             await until(lambda: told.stages[-1] is EndpointWatchStage.CONFIRMED)
