--- a/hoistplank/lab/fleet/soak/runner.py
+++ b/hoistplank/lab/fleet/soak/runner.py
@@ -18,6 +18,7 @@
 
 MAX_ATTEMPTS = 3  # of a run that was void
 RUN_TIMEOUT_S = 60.0
+WORKER_TIMEOUT_S = RUN_TIMEOUT_S + 15.0
 
 
 class SoakBrokeError(Exception):
@@ -71,7 +72,14 @@
         stderr=asyncio.subprocess.PIPE,
         preexec_fn=with_parent(),
     )
-    output, errors = await process.communicate()
+    try:
+        async with asyncio.timeout(WORKER_TIMEOUT_S):
+            output, errors = await process.communicate()
+    except TimeoutError:
+        raise SoakBrokeError(f"seed {seed}: the run did not end within {WORKER_TIMEOUT_S:.0f} s") from None
+    finally:
+        if process.returncode is None:
+            process.kill()
     if process.returncode != 0:
         last = errors.decode(errors="replace").strip().splitlines()[-1:]
         raise SoakBrokeError(f"seed {seed}: the run ended with {process.returncode}: {' '.join(last)}")
