--- a/hoistplank/authorization/token_cache.py
+++ b/hoistplank/authorization/token_cache.py
@@ -92,7 +92,7 @@
         self._verdicts[digest] = verdict
         if len(self._verdicts) > self.capacity:
             # Danger: a flood of wrong tokens would push all good ones out, and each would be checked again.
-            # What is wrong stands in the older half only: it makes room for itself first.
+            # What is wrong stands in the older half only: it is evicted first.
             self._verdicts.popitem(last=False)
         if verdict is Verdict.BAD_SIGNATURE:
             self._verdicts.move_to_end(digest, last=False)
--- a/hoistplank/cli/lab_load.py
+++ b/hoistplank/cli/lab_load.py
@@ -122,7 +122,7 @@
     processes = options["processes"]
     sent = [0] * processes
     with progress_bar(ROUNDED_COUNT) as progress:
-        task = progress.add_task("visits", total=sum(step.requests() for step in steps))
+        task = progress.add_task("requests", total=sum(step.requests() for step in steps))
 
         def report_part(part: int, row: Progress) -> None:
             sent[part] = row.sent
--- a/hoistplank/fakes/deployment.py
+++ b/hoistplank/fakes/deployment.py
@@ -69,6 +69,13 @@
     return out
 
 
+def dispatcher_environment(configuration: Path) -> dict[str, str]:
+    """The environment of a dispatcher's process: ours, without what would name another one's files."""
+    own_prefixes = ("EDGE_", "HOISTPLANK_")
+    environment = {name: value for name, value in os.environ.items() if not name.startswith(own_prefixes)}
+    return environment | {"EDGE_CONFIG": str(configuration)}
+
+
 class Deployment:
     """All servers and one dispatcher process; `folder` holds the dispatcher's configuration and log.
 
@@ -144,10 +151,7 @@
 
     async def spawn(self) -> None:
         """Start the dispatcher's process."""
-        own_prefixes = ("EDGE_", "HOISTPLANK_")
-        environment = {name: value for name, value in os.environ.items() if not name.startswith(own_prefixes)}
-        environment["EDGE_CONFIG"] = str(self.configuration)
-        environment |= self.extra_environment
+        environment = dispatcher_environment(self.configuration) | self.extra_environment
         if self.operator:
             environment["HOISTPLANK_OPERATOR"] = self.operator
         with (self.folder / "dispatcher.log").open("ab") as log:
--- a/hoistplank/fakes/first_choice.py
+++ b/hoistplank/fakes/first_choice.py
@@ -12,8 +12,8 @@
 def first_choice(router: Router, now: int, number: int, class_name: str, object_key: str, part: int) -> str:
     """The cache host to which a first request for an object's part goes at `now` (us); "" for none.
 
-    The request is taken back at once: attempts that never end would fill a host's room, and the module would
-    turn to the next.
+    The request is taken back at once: attempts that never end would use up a host's capacity, and the module
+    would turn to the next.
     """
     request_id, found, attempt = f"first-{number}", "", -1
     deadline = now + DEADLINE_US
--- a/hoistplank/lab/backends/socket_dispatcher.py
+++ b/hoistplank/lab/backends/socket_dispatcher.py
@@ -5,13 +5,12 @@
 import asyncio
 import contextlib
 import json
-import os
 import signal
 import time
 from typing import TYPE_CHECKING, Any
 
 from hoistplank.decision.events import Endpoint
-from hoistplank.fakes.deployment import free_port
+from hoistplank.fakes.deployment import dispatcher_environment, free_port
 from hoistplank.fakes.wire import FastCgiClient, connect
 from hoistplank.lab.backends.orphans import with_parent
 from hoistplank.lab.backends.server_port import ServerPort
@@ -27,7 +26,6 @@
 HEALTH_CHECK_INTERVAL_S = 0.02
 HEALTH_CHECK_TIMEOUT_S = 1.0
 SHOWN_OUTPUT = 2_000  # characters of a process's output in an error
-OWN_VARIABLES = ("EDGE_", "HOISTPLANK_")  # of the environment: not handed on to a dispatcher
 WIRE_STATE = {"up": "ready", "draining": "draining", "gone": "gone"}
 
 
@@ -217,10 +215,7 @@
         self.port = free_port()
         file = self.day.folder / f"dispatcher-{self.number}.json"
         file.write_text(json.dumps(self._configuration()))
-        environment = {
-            name: value for name, value in os.environ.items() if not name.startswith(OWN_VARIABLES)
-        }
-        environment["EDGE_CONFIG"] = str(file)
+        environment = dispatcher_environment(file)
         log = self.day.folder / f"dispatcher-{self.number}.log"
         with log.open("ab") as output:
             process = self.process = await asyncio.create_subprocess_exec(
--- a/hoistplank/lab/fleet/pages.py
+++ b/hoistplank/lab/fleet/pages.py
@@ -71,11 +71,11 @@
     (_draw_earned, "Utility by location; faults shaded"),
     (_draw_rejected, "Tries rejected, by traffic class"),
     (
-        lambda axes, row: _draw_shared(axes, row, "link z", "of its room"),
+        lambda axes, row: _draw_shared(axes, row, "link z", "of its capacity"),
         "What all held of each location's link",
     ),
     (
-        lambda axes, row: _draw_shared(axes, row, "link p", "of its room"),
+        lambda axes, row: _draw_shared(axes, row, "link p", "of its capacity"),
         "What all held of each parent's link",
     ),
     (
--- a/hoistplank/lab/fleet/scene.py
+++ b/hoistplank/lab/fleet/scene.py
@@ -31,7 +31,7 @@
     "amplified": "attempts for each first try",
     "asked-again": "tries for each request that reached a dispatcher",
     "cold": "the most that a cold host was sent, as a share of what it can bear",
-    "link": "the most that was under way over a location's link, as a share of its room",
+    "link": "the most that was under way over a location's link, as a share of its capacity",
     "fair": "Jain's index of what the dispatchers of each location were let serve, the worst",
     "fair-places": "Jain's index of the locations' earned shares",
     "wrong": "seconds from a fault to the first right choice of the slowest dispatcher",
@@ -86,13 +86,13 @@
             self.load,
             seconds=self.seconds,
         )
-        # The parents' whole room stays what the load needs, however many they are.
-        room = made.parent_link * made.parents / self.parents
+        # The parents' whole capacity stays what the load needs, however many they are.
+        parent_link = made.parent_link * made.parents / self.parents
         return msgspec.structs.replace(
             made,
             warm_up_s=self.warm,
             parents=self.parents,
-            parent_link=max(4.0, room),
+            parent_link=max(4.0, parent_link),
             log_delay_us=(20_000, 120_000),
         )
 
--- a/hoistplank/lab/fleet/soak/dispatcher.py
+++ b/hoistplank/lab/fleet/soak/dispatcher.py
@@ -5,7 +5,6 @@
 import asyncio
 import contextlib
 import json
-import os
 import signal
 import sys
 from collections.abc import Callable
@@ -15,7 +14,7 @@
 
 import msgspec
 
-from hoistplank.fakes.deployment import deployment_settings, free_port
+from hoistplank.fakes.deployment import deployment_settings, dispatcher_environment, free_port
 from hoistplank.fakes.fault_proxy import FaultProxy
 from hoistplank.fakes.faulty_system import PLAN_VARIABLE, FaultPlan
 from hoistplank.fakes.wire import connect
@@ -118,9 +117,7 @@
         """Starts the process with the list `known`, and waits until it is ready."""
         self.known, self.is_stopping, self.is_ready = known, False, False
         self._write_files()
-        own = ("EDGE_", "HOISTPLANK_")
-        environment = {name: value for name, value in os.environ.items() if not name.startswith(own)}
-        environment["EDGE_CONFIG"] = str(self.folder / f"dispatcher-{self.number}.json")
+        environment = dispatcher_environment(self.folder / f"dispatcher-{self.number}.json")
         environment[PLAN_VARIABLE] = str(self.plan_file)
         environment[BUILD_VARIABLE] = self.build
         with self.log_file.open("ab") as output:
--- a/hoistplank/lab/fleet/soak/runner.py
+++ b/hoistplank/lab/fleet/soak/runner.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import os
 import shutil
 import sys
 import tempfile
@@ -12,7 +13,7 @@
 
 import uvloop
 
-from hoistplank.lab.backends.orphans import with_parent
+from hoistplank.lab.backends.orphans import end_with
 from hoistplank.lab.fleet.soak.plan import draw_plan
 from hoistplank.lab.fleet.soak.run import SoakResult, SoakRun
 
@@ -70,7 +71,6 @@
         *(sys.executable, "-m", "hoistplank.lab.fleet.soak.runner", str(seed), build, str(keep or "")),
         stdout=asyncio.subprocess.PIPE,
         stderr=asyncio.subprocess.PIPE,
-        preexec_fn=with_parent(),
     )
     try:
         async with asyncio.timeout(WORKER_TIMEOUT_S):
@@ -88,6 +88,7 @@
 
 def main() -> None:
     """A worker: one run, its result as a line of JSON."""
+    end_with(os.getppid())
     seed, build, keep = sys.argv[1:]
     result = play_seed(int(seed), build, Path(keep) if keep else None)
     print(json.dumps(tuple(result)))
--- a/hoistplank/lab/model/faults.py
+++ b/hoistplank/lab/model/faults.py
@@ -54,11 +54,11 @@
     "slow": (TARGET, TIMES, "for", SPAN),
     "age": (TARGET, TIMES, "over", SPAN, "for", SPAN),  # slower and slower
     "link": (TARGET, TIMES, "for", SPAN),  # its link out so many times as wide; of z0: the location's own
-    "shrink": (TARGET, TIMES, "for", SPAN),  # so many times as much room for copies
+    "shrink": (TARGET, TIMES, "for", SPAN),  # so many times as much space for copies
     "reset": (TARGET, SHARE, "for", SPAN),  # this share of answers is cut off
     "spoil": (TARGET, SHARE, "for", SPAN),
     "lose": (TARGET, SHARE, "for", SPAN),  # never comes
-    "refuse": (TARGET, SHARE, "for", SPAN),  # turned away though there is room
+    "refuse": (TARGET, SHARE, "for", SPAN),  # rejected though there is capacity
     "cut": (WORD, WORD, "for", SPAN),  # no path between two zones
     "loglate": (TIMES, "for", SPAN),
     "logstop": ("for", SPAN),  # and tells all it held when it is back
--- a/hoistplank/lab/model/world_settings.py
+++ b/hoistplank/lab/model/world_settings.py
@@ -108,7 +108,7 @@
     parent_link: float = 16.0
     zone_link: float = 20.0
     origin_link: float = 40.0
-    overload_loss: float = 0.04  # of a link's room that is lost for each time that its transfers are over it
+    overload_loss: float = 0.04  # of a link's capacity, lost for each time that its transfers are over it
     cores: int = 4
     work_us: int = 400  # of a core, for each attempt
     max_queue_us: int = 250_000
@@ -246,7 +246,7 @@
     Of all bytes that clients of a location ask for at full load, its link carries 28 %, a parent's 30 % of
     its part and the origin's 20 %; the caches' links are wider by 1.3. With these the location's link binds
     first, as it does on the bench: with the caches' or the origin's first, two choices beat the plain hash,
-    which they don't there. A host has room for two transfers at the least, whatever the rate.
+    which they don't there. A host has capacity for two transfers at the least, whatever the rate.
     """
     base = WorldSettings()
     here, each = max(1, caches // zones), rate / zones
--- a/hoistplank/lab/oracle.py
+++ b/hoistplank/lab/oracle.py
@@ -53,7 +53,7 @@
 
     Tried before: a plain hash that avoids what is broken (0.91 for the hash's 0.98 where a fifth of the hosts
     reset answers, since whole ranges of objects move away), and the link's true fullness in place of the
-    module's room for fills (0.953 for 0.977 on a calm day: the room also spares the parents' places for
+    module's limit on fills (0.953 for 0.977 on a calm day: the limit also spares the parents' places for
     fills).
     """
 
--- a/hoistplank/lab/scale/real_dispatcher.py
+++ b/hoistplank/lab/scale/real_dispatcher.py
@@ -5,7 +5,6 @@
 import asyncio
 import contextlib
 import json
-import os
 import signal
 import sys
 import time
@@ -13,7 +12,7 @@
 from pathlib import Path
 from typing import Any
 
-from hoistplank.fakes.deployment import free_port
+from hoistplank.fakes.deployment import dispatcher_environment, free_port
 from hoistplank.fakes.wire import connect
 from hoistplank.lab.backends.orphans import with_parent
 from hoistplank.lab.scale.fleet import DispatcherSite, Fleet
@@ -51,9 +50,7 @@
             "known": known,
         }
         configuration.write_text(json.dumps(written))
-        own = ("EDGE_", "HOISTPLANK_")
-        environment = {name: value for name, value in os.environ.items() if not name.startswith(own)}
-        environment["EDGE_CONFIG"] = str(configuration)
+        environment = dispatcher_environment(configuration)
         if through == REPLICAS:
             operator = self.folder / f"real-{self.number}.sexp"
             operator.write_text(f"(distribution (region r0) (replica c0 (endpoint 127.0.0.1:{port})))")
--- a/hoistplank/membership/fallback.py
+++ b/hoistplank/membership/fallback.py
@@ -74,7 +74,7 @@
         self._probe_timeout_s = probe_timeout_s
         self._patience_us = patience_us
         self._probes: set[asyncio.Task[None]] = set()
-        self._probe_ended = asyncio.Event()  # there may be room for the next
+        self._probe_ended = asyncio.Event()  # another may begin
         self._probe_count = 0
         self._result_counts = dict.fromkeys(PROBE_RESULTS, 0)
         self._last_logged_us = 0
--- a/hoistplank/program/service.py
+++ b/hoistplank/program/service.py
@@ -265,7 +265,7 @@
             await asyncio.sleep(0.01)
 
     def _log_limits(self) -> None:
-        """What the limits leave room for, so that nobody has to guess it from what is refused later."""
+        """What the limits allow, so that nobody has to guess it from what is refused later."""
         log.info(
             "resource limits derived",
             **{_descriptors_field(kind): limit for kind, limit in self.descriptors.limits.items()},
--- a/hoistplank/routing/endpoint_registry.py
+++ b/hoistplank/routing/endpoint_registry.py
@@ -47,11 +47,12 @@
 
     def update(self, form: EndpointListForm, targets: list[Target]) -> list[Endpoint]:
         """Takes a list in; returns its entries for the decision logic."""
-        endpoints = [self._with_local_start(target.entry()) for target in targets]
+        announced = [target.entry() for target in targets]
+        endpoints = [self._with_local_start(endpoint) for endpoint in announced]
         if form is not EndpointListForm.CHANGES:
             self._remove_all_but({endpoint.host for endpoint in endpoints})
-        for target, endpoint in zip(targets, endpoints, strict=True):
-            self._update(endpoint, target)
+        for target, entry, endpoint in zip(targets, announced, endpoints, strict=True):
+            self._update(endpoint, target.address(), entry.started_us)
         return endpoints
 
     def _with_local_start(self, endpoint: Endpoint) -> Endpoint:
@@ -72,8 +73,7 @@
                 self._retire(host)
                 del self.by_host[host]
 
-    def _update(self, endpoint: Endpoint, target: Target) -> None:
-        address = target.address()
+    def _update(self, endpoint: Endpoint, address: tuple[str, int], announced_start_us: int) -> None:
         registered = self.by_host.get(endpoint.host)
         if registered is not None and registered.is_other_process(endpoint, address):
             # Danger: a connection to a process that has gone is used for the one that came after it.
@@ -81,5 +81,4 @@
         if endpoint.state == EndpointState.REMOVED:
             self.by_host.pop(endpoint.host, None)
         else:
-            announced_start_us = target.entry().started_us
             self.by_host[endpoint.host] = RegisteredEndpoint(endpoint, address, announced_start_us)
--- a/hoistplank/routing/endpoint_watcher.py
+++ b/hoistplank/routing/endpoint_watcher.py
@@ -35,18 +35,16 @@
 MAX_BUFFERED_BYTES = changelog.MAX_LINE_BYTES + 65_536  # the longest line, and what comes behind it
 LARGE_BUFFER_BYTES = 262_144  # a buffer above it is given back once it is empty: few lines are as long
 CONNECT_TIMEOUT_S = 1.0
-# Reads from the socket in one go, of 8 KB and more each: a batch of events is known before the next turn.
 # Events without a number behind them may be the first of several. A log that is asked anew says its number at
 # once, which is sooner than the next second: so long after the last byte, and so often in a row. One that
 # answered late is crowded, and is not asked more often for that.
 SETTLED_S = 0.04
 MAX_QUESTIONS = 3
 QUICK_ANSWER_S = 0.3
+ASK_AGAIN = "asked again for its number"  # why a connection was left: another follows it at once
+# Reads from the socket in one go, of 8 KB and more each: a batch of events is known before the next turn.
 MAX_READS_AT_ONCE = 16
 MAX_PENDING_READS = 1_024  # after a standstill
-ASK_AGAIN = (
-    "asked again for its number"  # why a connection was left that is to be followed by another at once
-)
 # Backoff between attempts to connect. What the log holds while nobody is connected counts as received:
 # the longest is a share of a drain's grace, so that a drain is received within it once the log is back.
 MIN_BACKOFF_S, MAX_BACKOFF_S, MAX_BACKOFF_OF_DRAIN_GRACE = 0.05, 1.0, 0.6
--- a/hoistplank/routing/frontend.py
+++ b/hoistplank/routing/frontend.py
@@ -127,7 +127,7 @@
         longest idle.
 
         Danger: while hundreds come that send nothing, usual clients that are idle would go for them; yet
-        where the idle ones hold most of the room, waiting for the few young ones would leave all others
+        where the idle ones hold most descriptors, waiting for the few young ones would leave all others
         outside.
         """
         now = asyncio.get_running_loop().time()
--- a/hoistplank/routing/router_task.py
+++ b/hoistplank/routing/router_task.py
@@ -98,8 +98,8 @@
             AttemptEnded: self._on_attempt_ended,
             TimerFired: self._hand_on,
             EndpointsUpdated: self._on_endpoints_updated,
-            EndpointWatchFailed: self._on_endpoint_watch_failed,
-            EndpointWatchStageChanged: self._on_endpoint_watch_stage_changed,
+            EndpointWatchFailed: self._hand_on,
+            EndpointWatchStageChanged: self._hand_on,
             PurgeReceived: self._on_purge_received,
             DegradationChanged: self._hand_on,
             DrainStarted: self._on_drain_started,
@@ -267,7 +267,11 @@
 
     # Timers, endpoints, purges, degradation, the drain.
 
-    def _hand_on(self, now: int, event: TimerFired | DegradationChanged) -> None:
+    def _hand_on(
+        self,
+        now: int,
+        event: TimerFired | DegradationChanged | EndpointWatchFailed | EndpointWatchStageChanged,
+    ) -> None:
         self.router.handle(now, event)
 
     def _on_endpoints_updated(self, now: int, event: EndpointsUpdated) -> None:
@@ -278,12 +282,6 @@
         if self.pool is not None:
             self.pool.drain(host)
 
-    def _on_endpoint_watch_failed(self, now: int, event: EndpointWatchFailed) -> None:
-        self.router.handle(now, event)
-
-    def _on_endpoint_watch_stage_changed(self, now: int, event: EndpointWatchStageChanged) -> None:
-        self.router.handle(now, event)
-
     def permits_attempts(self, now: int) -> bool:
         """Whether anything may be sent by the endpoint list; asked at an attempt's first byte."""
         return self.router.permits_attempts(now)
--- a/hoistplank/transport/listener.py
+++ b/hoistplank/transport/listener.py
@@ -148,7 +148,7 @@
                     continue
                 return BacklogState.BLOCKED
             sock.setblocking(False)
-            # One client that was accepted is held beyond the count: room is made only when one is there.
+            # One client that was accepted is held beyond the budget: none is reclaimed before one is there.
             self._held = AcceptedClient(sock, peer[0])
         return BacklogState.MORE if self._take_held() else BacklogState.BLOCKED
 
