--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -5,6 +5,7 @@
 
 import asyncio
 import contextlib
+import json
 import time
 from pathlib import Path
 from random import Random
@@ -195,8 +196,10 @@
 class DispatcherWithoutLog:
     """A dispatcher whose log is down, beside a kept list of hosts that answer in several ways."""
 
-    def __init__(self, folder: Path, age_s: float = 60, **hosts: ScriptedCacheHost) -> None:
-        self.folder, self.age_s, self.hosts = folder, age_s, hosts
+    def __init__(
+        self, folder: Path, age_s: float = 60, changelog: str = "127.0.0.1:9", **hosts: ScriptedCacheHost
+    ) -> None:
+        self.folder, self.age_s, self.hosts, self.changelog = folder, age_s, hosts, changelog
         self.others: list[PersistedHost] = []
         (folder / "op.sexp").write_text('(membership (state "state") (patience 50ms) (probe-time 200ms))')
 
@@ -213,7 +216,8 @@
             )
         )
         store.close()
-        self.running = Running(self.folder, {}, changelog="127.0.0.1:9", known=None)
+        self.ports = {row.uid: int(row.endpoint.rpartition(":")[2]) for row in rows}
+        self.running = Running(self.folder, {}, changelog=self.changelog, known=None)
         self.running.operator = True
         return await self.running.__aenter__()
 
@@ -292,6 +296,40 @@
     run_scene(scene())
 
 
+def test_a_kept_list_is_not_served_by_while_the_log_owes_its_answer(tmp_path: Path) -> None:
+    """A log that was asked and answers late may have a drain to tell: kept hosts are probed, and get no
+    request."""
+
+    async def scene() -> None:
+        a, b, o = (ScriptedCacheHost(served) for _ in range(3))
+        answers = asyncio.Event()
+
+        async def late(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await reader.readline()
+            await answers.wait()
+            rows = [
+                endpoint_entry(
+                    uid, "origin" if uid == "o" else "box", port, "draining" if uid == "a" else "ready"
+                )
+                for uid, port in place.ports.items()
+            ]
+            writer.write(json.dumps(fleet_event(1, rows, whole=True)).encode() + b"\n1\n")
+            await reader.read()
+
+        log = f"127.0.0.1:{await serve(late)}"
+        place = DispatcherWithoutLog(tmp_path, changelog=log, a=a, b=b, o=o)
+        async with place as running:
+            await until(lambda: running.service.router_task.endpoints.is_up("a"))  # probed, and well
+            assert (await running.ask(1, "page"))[0] == 503
+            assert running.service.phase is Phase.STARTING and not (a.requests or b.requests)
+            answers.set()
+            await until(lambda: running.service.phase is Phase.SERVING)
+            assert (await running.ask(2, "page"))[0] == 200
+            assert not a.requests
+
+    run_scene(scene())
+
+
 def test_a_host_that_vanishes_is_no_longer_told(tmp_path: Path) -> None:
     async def scene() -> None:
         a, b, o = ScriptedCacheHost(served), ScriptedCacheHost(served), ScriptedCacheHost(served)
