What lay unread counts from when the connection was last known to be drained

Change: Connection.drained_at, set where the system says that nothing more has come, and the standstill's beginning bound the age of what the system does not date.

--- a/hoistplank/routing/client_session.py
+++ b/hoistplank/routing/client_session.py
@@ -158,15 +158,15 @@
         """For how long what has just been read may have lain unread, where that can be long.
 
         The system tells it of the last bytes alone; what stands before them may have come at any time of the
-        standstill.
+        standstill at which this connection was not known to be drained.
         """
         standstills = self.frontend.router_task.standstills
         if not standstills.is_recovering():
             return 0
         if is_last:
             return self.connection.last_arrival_age_us()
-        since_read_s = asyncio.get_running_loop().time() - self.connection.previous_read_at
-        return int(min(standstills.last_duration_s, since_read_s) * 1e6)
+        unread_since = max(standstills.last_began_at, self.connection.drained_at)
+        return int((asyncio.get_running_loop().time() - unread_since) * 1e6)
 
     def _refuse_bad_request(
         self, received: fastcgi.FastCgiRequest, response: FastCgiResponse, error: str
--- a/hoistplank/routing/standstill.py
+++ b/hoistplank/routing/standstill.py
@@ -28,7 +28,7 @@
     def __init__(self) -> None:
         self.read_pending: Callable[[], None] = _nothing_pending
         self.count = 0
-        self.last_duration_s = 0.0
+        self.last_began_at = 0.0  # monotonic, as the event loop's time
         self._checked_at = time.monotonic()
         self._recovering_until = 0.0
 
@@ -43,7 +43,7 @@
         now = time.monotonic()
         if now - self._checked_at > STANDSTILL_S:
             self.count += 1
-            self.last_duration_s = now - self._checked_at
+            self.last_began_at = self._checked_at
             self._recovering_until = now + RECOVERY_S
         self._checked_at = now
         return self.count
--- a/hoistplank/transport/connection.py
+++ b/hoistplank/transport/connection.py
@@ -54,7 +54,7 @@
         self.last_read_at = self.loop.time()
         self.max_reads_at_once = 1  # more, where what comes must be known before anything else is done
         self.read_count = 0
-        self.previous_read_at = 0.0  # before the last; 0: there was none
+        self.drained_at = 0.0  # when the system last said that nothing more had come; 0: never
         self.is_closing = False  # `close_gracefully` has been called
         self.discarded_bytes = 0
         self.ended_inside_message = False  # once it has ended: whether that was inside a message
@@ -169,7 +169,7 @@
                 if self.state is not ConnectionState.OPEN or self._reading_stopped:
                     break
         except (BlockingIOError, InterruptedError):
-            pass  # what has come is read
+            self.drained_at = self.loop.time()  # what had come is read
         except Exception as error:  # bad bytes, a reset, or a bug in a reader: this connection ends, no other
             self._end(error)
             return
@@ -192,7 +192,6 @@
             self._end(None)
             return
         self.end += received
-        self.previous_read_at = self.last_read_at if self.read_count else 0.0
         self.read_count += 1
         self.last_read_at = self.loop.time()
         self.start = self.consume(self.buffer, self.start, self.end)
