review: a case of purged copies served within the drain's grace of a lost watch

Looked at: the grace for which a lost watch is acted on, where a purge's grace is shorter than a drain's.

--- /dev/null
+++ b/review/3/run.sh
@@ -0,0 +1,5 @@
+#!/bin/sh
+# Exit code 1: the rule was broken, 0: it held, 2: the case couldn't run. TROUBLE=0 leaves the disruption out.
+cd "$(dirname "$0")/../.." || exit 2
+test -x .venv/bin/python || exit 2
+exec timeout -k 5 115 .venv/bin/python "review/3/case.py"
