--- a/review/1/case.py
+++ b/review/1/case.py
@@ -25,6 +25,7 @@
     listening_socket,
     record_bytes,
     request_bytes,
+    run_case,
     settings,
 )
 
@@ -243,4 +244,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(asyncio.run(main()))
+    sys.exit(run_case(main))
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -11,7 +11,17 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "lib"))
 
-from rig import CacheHost, ChangeLog, Dispatcher, Record, Sent, WebServerConnection, request_bytes, settings
+from rig import (
+    CacheHost,
+    ChangeLog,
+    Dispatcher,
+    Record,
+    Sent,
+    WebServerConnection,
+    request_bytes,
+    run_case,
+    settings,
+)
 
 GROUP = 17
 OBJECTS = 40
@@ -120,4 +130,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(asyncio.run(main()))
+    sys.exit(run_case(main))
--- a/review/lib/rig.py
+++ b/review/lib/rig.py
@@ -15,7 +15,8 @@
 import tempfile
 import time
 import tomllib
-from collections.abc import Callable
+import traceback
+from collections.abc import Callable, Coroutine
 from dataclasses import dataclass, field
 from hashlib import sha256
 from pathlib import Path
@@ -434,6 +435,23 @@
         self.folder.cleanup()
 
 
+def run_case(case: Callable[[], Coroutine[Any, Any, int]]) -> int:
+    """Run a case and return its exit code; 2 if the case itself breaks or is ended by a signal."""
+
+    async def until_ended() -> int:
+        task = asyncio.current_task()
+        assert task is not None
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, task.cancel)
+        return await case()
+
+    try:
+        return asyncio.run(until_ended())
+    except (Exception, asyncio.CancelledError):
+        traceback.print_exc()
+        return 2
+
+
 def settings(**changes: Any) -> dict[str, Any]:
     """Return the settings of a small deployment; `changes` by paths with `__` between the names."""
     out: dict[str, Any] = {
