review: case 1 stays inside the limits of the site's network

Looked at: the limits that bear on case 1. The web server stood 30 ms away, the site says 4.4 to 12 ms one way; the excuse for crossing requests was taken by time alone.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -29,13 +29,14 @@
     settings,
 )
 
-RUN_S = 60.0
-WAY_S = 0.03  # between the web server and the dispatcher, each way
-TICK_S = 0.02  # the web server writes what its clients did in each tick
-WORK_S = 0.03  # half of a hit's time at the cache host
-IMPATIENT_SHARE = 0.4  # of the clients
-LEAVES_AFTER_S = (0.065, 0.125)  # when one of them leaves, if it has no answer by then
-CROSSING_S = 0.05
+RUN_S = 95.0
+WAY_S = 0.012  # between the web server and the dispatcher, each way; the site: 4.4 to 12 ms
+TICK_S = 0.01  # the web server writes what its clients did in each tick: a request, and who left
+PAGE_WORK_S = 0.04  # of a cache host for a page
+VIDEO_WORK_S = 0.28  # and for a part of a video, the one in ten requests
+IMPATIENT_SHARE = 0.25  # of the clients that ask for a page
+LEAVES_AFTER_S = (0.02, 0.15)  # when one of them leaves, if it has no answer by then
+SURELY_OPEN_S = 0.05  # a request that the dispatcher has had for longer is no crossing one
 
 
 @dataclass
@@ -132,7 +133,7 @@
             if data:
                 connection.writer.write(data)
             await asyncio.sleep(TICK_S)
-        await asyncio.sleep(4.0)
+        await asyncio.sleep(3.0)
 
     async def _connect(self) -> WebServerConnection:
         connection = await self.dispatcher.connect(self.port)
@@ -153,50 +154,63 @@
         if not number:
             return b""
         sent = Sent(f"{self.random.getrandbits(64):016x}", number, time.time())
-        if self.random.random() < self.share:
+        is_video = self.random.random() < 0.1
+        if not is_video and self.random.random() < self.share:
             self.leaves[sent.id] = sent.written_at + self.random.uniform(*LEAVES_AFTER_S)
         connection.open[number] = sent
         self.sent.append((connection, sent))
         self.record.write(f"client sends {sent.id} as request {number}")
         fields = {
             "HTTP_X_CORRELATION_ID": sent.id,
-            "HTTP_X_DEADLINE_MS": "2500",
+            "HTTP_X_DEADLINE_MS": "5000" if is_video else "2500",
             "HTTP_X_SUBJECT": f"{self.random.randrange(12):016x}",
             "HTTP_X_CHUNK": "0",
             "HTTP_X_TAG": "17",
         }
-        return request_bytes(number, "/api/v2/page", fields)
+        return request_bytes(number, "/api/v2/video" if is_video else "/api/v2/page", fields)
+
+
+def was_open(sent: Sent, connection: WebServerConnection, way: Way) -> bool:
+    """Return whether a request was open when the dispatcher ended the connection, or was failed just then."""
+    if sent.aborted_at or sent.status == 200:
+        return False
+    if sent.ended_at and connection.ended_at - sent.ended_at > SURELY_OPEN_S:
+        return False
+    return way.ended_at - way.handed_over_at(sent.id) > SURELY_OPEN_S
 
 
 def lost_requests(web_server: WebServer, ways: list[Way], arrived: set[str], record: Record) -> int:
     """Return the number of requests that were taken and got no whole answer though nobody aborted them.
 
-    A request that may have crossed the end of its connection is not counted: it was written less than 50 ms
-    before the end was seen, or handed to the dispatcher after the end.
+    Not counted are requests on a connection that had no request open, and those that were handed to the
+    dispatcher only after it had ended their connection: they crossed its end.
     """
     count = 0
     way_of = dict(zip(web_server.connections, ways, strict=True))
+    sent_on = {connection: list[Sent]() for connection in web_server.connections}
     for connection, sent in web_server.sent:
-        if sent.ended_at or sent.aborted_at:
-            continue
-        way = way_of[connection]
-        handed_over_at = way.handed_over_at(sent.id)
-        if connection.ended_at:
-            waited_s = connection.ended_at - sent.written_at
-            had_ms, waited_ms = (way.ended_at - handed_over_at) * 1000, waited_s * 1000
-            record.write(
-                f"open at the end: {sent.id}, handed over {had_ms:.1f}, written {waited_ms:.0f} ms before"
-            )
-            if waited_s < CROSSING_S or not 0 < handed_over_at < way.ended_at:
+        sent_on[connection].append(sent)
+    for connection, way in way_of.items():
+        open_ids = [one.id for one in sent_on[connection] if was_open(one, connection, way)]
+        for sent in sent_on[connection]:
+            if sent.ended_at or sent.aborted_at:
+                continue
+            if not connection.ended_at:
+                record.say(f"no answer to {sent.id}, its connection stands")
+                count += 1
                 continue
-            record.say(
-                f"no answer to {sent.id}: the dispatcher had it {had_ms:.1f} ms before it ended the"
-                f" connection, and it was written {waited_ms:.0f} ms before the client saw that;"
-                f" came to a cache host: {sent.id in arrived}"
+            handed_over_at = way.handed_over_at(sent.id)
+            record.write(
+                f"without an answer: {sent.id}, handed over at {handed_over_at - record.started:.3f}"
             )
-        else:
-            record.say(f"no answer to {sent.id}, its connection stands")
-        count += 1
+            if open_ids and 0 < handed_over_at < way.ended_at:
+                had_ms = (way.ended_at - handed_over_at) * 1000
+                record.say(
+                    f"no answer to {sent.id}: the dispatcher had it whole {had_ms:.1f} ms before it ended the"
+                    f" connection, on which {len(open_ids)} others were open; came to a cache host:"
+                    f" {sent.id in arrived}"
+                )
+                count += 1
     return count
 
 
@@ -205,10 +219,10 @@
     folder = Path(__file__).resolve().parent
     record, trouble = Record(folder), os.environ.get("TROUBLE", "1") != "0"
     change_log = ChangeLog(record)
-    hosts = [CacheHost(f"c-{n}", "small-box", "s1", record, WORK_S) for n in range(3)]
+    hosts = [CacheHost(f"c-{n}", "small-box", "s1", record, PAGE_WORK_S) for n in range(3)]
     hosts += [CacheHost("p-0", "parent", "east-hub", record), CacheHost("o-0", "origin", "east-hub", record)]
     for host in hosts:
-        host.fresh_ms = {"page": 12_000}
+        host.fresh_ms, host.work_by_class = {"page": 12_000}, {"video": VIDEO_WORK_S}
         await host.start()
     await change_log.start()
     change_log.add(fleet={"rev": 1, "all": True, "targets": [host.row() for host in hosts]})
--- a/review/lib/rig.py
+++ b/review/lib/rig.py
@@ -192,6 +192,7 @@
     zone: str
     record: Record
     work_s: float = 0.004
+    work_by_class: dict[str, float] = field(default_factory=dict)
     fresh_ms: dict[str, int] = field(default_factory=dict)
     purge_takes_s: float = 6.0
     copies: dict[tuple[str, str], Copy] = field(default_factory=dict)
@@ -241,7 +242,7 @@
     async def _answer(self, get: Get, writer: asyncio.StreamWriter) -> None:
         key, detail = (get.fields["path"], get.fields["blk"]), "hit"
         copy = self._acceptable(key, get.fields)
-        await asyncio.sleep(self.work_s)
+        await asyncio.sleep(self.work_by_class.get(get.fields.get("queue", ""), self.work_s))
         if copy is None and not get.fields.get("parent") and self.model != "origin":
             get.answered = "not_here"
             writer.write(f"{get.id} not_here - 0\r\n\r\n".encode())
