A connection is kept however often its clients leave: misuse is limited by its rate

Cause: RequestReader counted each ABORT_REQUEST that crossed its answer, and each management record, for the connection's whole life, and took the 201st for invalid input; ClientSession dropped the rest of what it had read. The 8th invalid request of a connection's life ended it in the same way. The records behind an OVERLOADED or an unknown role were counted, too.

Why the fix works: a late abort belongs to an answered request, of which a client has 32 open at most by its own count, so up to 32 answers are remembered as a count, and such an abort is no stray record. The rest of a rejected request is skipped as that of a shed one.

--- a/hoistplank/protocol/fastcgi/reader.py
+++ b/hoistplank/protocol/fastcgi/reader.py
@@ -35,9 +35,8 @@
 from hoistplank.protocol.fastcgi.script_name import find_script_name
 from hoistplank.protocol.fastcgi.whole_request import MAX_BODY_BYTES, MAX_PARAMS_BYTES, WholeRequestLayout
 
-# Records that belong to no active request. A few arrive late for an answered or aborted request; more than
-# this many are a protocol error.
-MAX_STRAY_RECORDS = 200
+# A long stray record counts as one more for each of these, as its content is read as well.
+STRAY_CONTENT_BYTES = 256
 _HEADER_BYTES = HEADER.size
 _BEGIN_BODY_MIN_BYTES = 3  # of BEGIN_REQUEST: the role and the flags, without the reserved bytes
 # Response to GET_VALUES (section 4.1), by which the web server sets its own limits.
@@ -63,9 +62,15 @@
         self.shed_count = 0  # total number of shed requests
         self.held_bytes = 0  # content of the requests that are incomplete or not answered yet
         self.close_requested = False  # a shed request without KEEP_CONN is complete: close the connection
-        # KEEP_CONN flag of requests that were shed before they were complete, until their STDIN ends.
+        # KEEP_CONN flag of requests that were shed or rejected before they were complete, until their STDIN
+        # ends; the latest `max_requests` of them.
         self.shed_requests: dict[int, bool] = {}
-        self._stray_records = 0
+        # Records so far that belong to no request, which only a client that breaks the protocol sends in
+        # large numbers. The owner limits their rate.
+        self.stray_records = 0
+        # Answered requests whose ABORT_REQUEST may have crossed the answer. A client has no more than
+        # `max_requests` open at once by its own count, so no more can be on their way.
+        self._expected_late_aborts = 0
         self._layout = WholeRequestLayout()
 
     def read(self, buffer: bytearray, start: int, end: int) -> tuple[int, list[Event]]:
@@ -103,10 +108,9 @@
 
     def release(self, number: int) -> None:
         """Drops a request that has been answered; its number may be used again."""
-        request = self.requests.pop(number, None)
-        if request is not None:
-            self.held_bytes -= request.held_bytes
-        self.complete.discard(number)
+        if number in self.requests:
+            self._drop(number)
+            self._expect_late_abort()
 
     def release_all(self) -> None:
         """Drops all requests, once nothing more is read on this connection."""
@@ -114,6 +118,16 @@
         self.complete.clear()
         self.held_bytes = 0
 
+    def _drop(self, number: int) -> None:
+        request = self.requests.pop(number, None)
+        if request is not None:
+            self.held_bytes -= request.held_bytes
+        self.complete.discard(number)
+
+    def _expect_late_abort(self) -> None:
+        """Notes that a request was answered: its client may have aborted it before it read the answer."""
+        self._expected_late_aborts = min(self.max_requests, self._expected_late_aborts + 1)
+
     def _read_whole_request(
         self, buffer: bytearray, start: int, end: int
     ) -> tuple[int, RequestReceived | ProtocolReply | None]:
@@ -131,6 +145,7 @@
             rejection = self._check_shed(number, find_script_name(buffer, params_start, params_end))
             if rejection is not None:
                 self.close_requested = self.close_requested or not keep_connection
+                self._expect_late_abort()
                 return layout.end, rejection
         params = buffer[params_start:params_end]
         body = buffer[layout.body_start : layout.body_end]
@@ -158,10 +173,16 @@
         self.shed_count += 1
         return ProtocolReply(rejection)
 
-    def _count_stray_record(self) -> None:
-        self._stray_records += 1
-        if self._stray_records > MAX_STRAY_RECORDS:
-            raise FastCgiError("too many records belong to no active request")
+    def _skip_rest(self, number: int, *, keep_connection: bool) -> None:
+        """Skips what follows of a request that was answered before it was complete."""
+        self.shed_requests.pop(number, None)
+        if len(self.shed_requests) >= self.max_requests:
+            # A client need not send the rest of a request that was answered: the oldest may never end.
+            del self.shed_requests[next(iter(self.shed_requests))]
+        self.shed_requests[number] = keep_connection
+
+    def _count_stray_record(self, content: bytearray) -> None:
+        self.stray_records += 1 + len(content) // STRAY_CONTENT_BYTES
 
     def _read_record(self, kind: int, number: int, content: bytearray) -> Event | None:
         if number == MANAGEMENT_NUMBER:
@@ -176,18 +197,27 @@
             return None
         if kind == ABORT_REQUEST:
             was_complete = number in self.complete
-            self.release(number)
+            self._drop(number)
             return RequestAborted(number, was_complete)
         return self._read_stream(request, kind, content)
 
     def _skip_inactive_record(self, kind: int, number: int, content: bytearray) -> None:
         """Ignores a record of a request that is not active, as the specification demands. The last record of
         a request that was shed ends that request."""
-        if number not in self.shed_requests:
-            self._count_stray_record()
-        elif kind == ABORT_REQUEST or (kind == STDIN and not content):
-            keep_connection = self.shed_requests.pop(number)
-            self.close_requested = self.close_requested or not keep_connection
+        if number in self.shed_requests:
+            if kind == ABORT_REQUEST:
+                self._end_shed_request(number)
+            elif kind == STDIN and not content:
+                self._end_shed_request(number)
+                self._expect_late_abort()
+        elif kind == ABORT_REQUEST and self._expected_late_aborts:
+            self._expected_late_aborts -= 1
+        else:
+            self._count_stray_record(content)
+
+    def _end_shed_request(self, number: int) -> None:
+        keep_connection = self.shed_requests.pop(number)
+        self.close_requested = self.close_requested or not keep_connection
 
     def _read_stream(self, request: FastCgiRequest, kind: int, content: bytearray) -> Event | None:
         """Reads a PARAMS or STDIN record of a request; counts any other as a stray record."""
@@ -197,7 +227,7 @@
         elif kind == STDIN and not request.body_complete:
             event = self._read_body(request, content)
         else:
-            self._count_stray_record()
+            self._count_stray_record(content)
         if event is not None:
             return event
         request.held_bytes += len(content)
@@ -208,7 +238,7 @@
         return None
 
     def _respond_to_management(self, kind: int, content: bytearray) -> ProtocolReply:
-        self._count_stray_record()
+        self._count_stray_record(content)
         if kind != GET_VALUES:
             return ProtocolReply(encode_record(UNKNOWN_TYPE, MANAGEMENT_NUMBER, bytes((kind,)) + bytes(7)))
         names = [name for name, _ in decode_pairs(content) if name in _SUPPORTED_VALUES]
@@ -222,15 +252,16 @@
             raise FastCgiError("a BEGIN_REQUEST record is too short")
         if request is not None:
             raise FastCgiError(f"request {number} begins while it is open")
-        if len(self.requests) >= self.max_requests:
-            return ProtocolReply(encode_end_request(number, 0, OVERLOADED))
         role, keep_connection = content[0] << 8 | content[1], bool(content[2] & KEEP_CONN)
-        if role != RESPONDER:
-            return ProtocolReply(encode_end_request(number, 0, UNKNOWN_ROLE))
-        rejection = self._check_shed(number, b"")
+        rejection: ProtocolReply | None
+        if len(self.requests) >= self.max_requests:
+            rejection = ProtocolReply(encode_end_request(number, 0, OVERLOADED))
+        elif role != RESPONDER:
+            rejection = ProtocolReply(encode_end_request(number, 0, UNKNOWN_ROLE))
+        else:
+            rejection = self._check_shed(number, b"")
         if rejection is not None:
-            if len(self.shed_requests) < self.max_requests:
-                self.shed_requests[number] = keep_connection
+            self._skip_rest(number, keep_connection=keep_connection)
             return rejection
         self.requests[number] = FastCgiRequest(number, keep_connection)
         return None
@@ -244,8 +275,8 @@
         request.params_complete = True
         rejection = self._check_shed(request.number, find_script_name(request.params, 0, len(request.params)))
         if rejection is not None:
-            self.release(request.number)
-            self.shed_requests[request.number] = request.keep_connection
+            self._drop(request.number)
+            self._skip_rest(request.number, keep_connection=request.keep_connection)
         return rejection
 
     def _read_body(self, request: FastCgiRequest, content: bytearray) -> RequestReceived | None:
--- a/hoistplank/routing/client_session.py
+++ b/hoistplank/routing/client_session.py
@@ -11,6 +11,7 @@
 from hoistplank.protocol.errors import ProtocolError
 from hoistplank.routing.attempts import Request
 from hoistplank.routing.events import ClientDisconnected, RequestArrived
+from hoistplank.routing.misuse_throttle import MisuseThrottle
 from hoistplank.routing.rate_limited_log import RateLimitedLog
 from hoistplank.routing.request_intake import RequestIntake, is_health_check
 from hoistplank.routing.response import FastCgiResponse
@@ -25,7 +26,6 @@
 MAX_UNSENT_BEFORE_PAUSE_BYTES = MAX_UNSENT_BYTES + MAX_REQUESTS * 245_760
 DEFERRED_ANSWER_US = 250_000  # a deferred request is submitted this long before its deadline
 SHED_READ_PAUSE_S = 0.02  # reading pause of a connection after one of its requests was shed
-MAX_INVALID_REQUESTS = 8  # per connection; well-behaved clients send none
 
 ConnectionFactory = Callable[[socket.socket, Consume, int, int], Connection]
 
@@ -71,7 +71,6 @@
         self.is_closing = False  # it closes once nothing is pending on it
         self.has_failed = False  # its input is unusable: nothing more is read
         self.has_sent_request = False  # it sent a valid request, or one that was shed
-        self.invalid_requests = 0
         self.complete_requests = 0
         self.reported_held_bytes = 0  # bytes held by its requests, as last reported to the frontend
         # By number: the time of the sweep that first found a request unfinished.
@@ -79,6 +78,7 @@
         self.connection = make_connection(sock, self.consume, MAX_RECORD_BYTES, MAX_UNSENT_BEFORE_PAUSE_BYTES)
         loop = asyncio.get_running_loop()
         self.opened_at = loop.time()
+        self.misuse_throttle = MisuseThrottle(self.opened_at)
         self.task = loop.create_task(self.connection.run(), name="client connection")
         self.task.add_done_callback(self._ended)
 
@@ -107,6 +107,7 @@
 
     def _read_ended(self, shed_before: int) -> None:
         self._count_held_bytes()
+        self._throttle_misuse()
         if self.reader.close_requested:
             asyncio.get_running_loop().call_soon(self.close_when_idle)
         if self.reader.shed_count > shed_before:
@@ -117,6 +118,16 @@
             # request: the next data is read later, in one go.
             self.connection.pause_reading(SHED_READ_PAUSE_S)
 
+    def _throttle_misuse(self) -> None:
+        """Reads later what follows, if too much of the input was unusable; what was read is answered."""
+        now = asyncio.get_running_loop().time()
+        pause_s = self.misuse_throttle.pause_s(now, self.reader.stray_records)
+        if pause_s > 0:
+            self.frontend.rate_limited_log.warning(
+                "unusable input, reading of client connection paused", stray_records=self.reader.stray_records
+            )
+            self.connection.pause_reading(pause_s)
+
     def _count_held_bytes(self) -> None:
         more = self.reader.held_bytes - self.reported_held_bytes
         self.reported_held_bytes = self.reader.held_bytes
@@ -133,6 +144,7 @@
             fields = received.parameters()
             if is_health_check(fields):
                 self.has_sent_request = True
+                self.misuse_throttle.record_valid_request()
                 self.intake.answer_health_check(response)
                 return
             request = self.intake.parse(response, fields, received, self._unread_for_us(is_last=is_last))
@@ -140,6 +152,7 @@
             self._reject_invalid_request(received, response, str(error))
             return
         self.has_sent_request = True
+        self.misuse_throttle.record_valid_request()
         authorizer = self.intake.authorizer
         if authorizer is not None and not self.intake.authorize(
             authorizer, request, response, fields, self.identity, self.peer
@@ -172,11 +185,12 @@
     def _reject_invalid_request(
         self, received: fastcgi.FastCgiRequest, response: FastCgiResponse, error: str
     ) -> None:
-        """Answers 400 at once, without an attempt; too many invalid requests close the connection."""
+        """Answers 400 at once, without an attempt. A request that exceeds a limit closes the connection, as
+        the rest of it would have to be read."""
         self.frontend.rate_limited_log.warning("invalid request rejected", wrong=error)
         response.send(400, (), b"")
-        self.invalid_requests += 1
-        if received.error or self.invalid_requests >= MAX_INVALID_REQUESTS:
+        self.misuse_throttle.record_invalid_request()
+        if received.error:
             self.close_with_failure(error)
 
     def _request_aborted(self, event: fastcgi.RequestAborted) -> None:
