No purged copy is asked for after a purge's grace, whatever the state of the watch

Cause: whether the list may be used was decided by the drain's grace alone. Nothing read purge_grace; where the list is used on purpose (grace, unreachable, unanswered) a purge that the log could not deliver bound nobody, an attempt that waited for its connection was not checked for purges again, and the backoff to the log followed the drain's grace (a fixed 0.25 s in the xDS service).

Evidence: no stale answer before the purge's grace nor after "change log confirmed"; in between, requests without an accept.

Why the fix works: from 0.6 of the grace after unseen purges count as received, until the list is confirmed, no copy older than 0.9 of the grace is asked for. What counts as received for a whole grace was made before that, whenever it was made, so purges made during the loss are kept, too. An attempt that has waited for 0.3 of the grace is checked again at its first byte.

--- a/hoistplank/decision/herds.py
+++ b/hoistplank/decision/herds.py
@@ -84,6 +84,6 @@
             return None
         if 0 < request.traffic_class.fresh_us <= now_us - herd.fetched_us:
             return None
-        if herd.fetched_us <= self.purges.watermark_us(request):
+        if herd.fetched_us <= self.purges.watermark_us(now_us, request):
             return None
         return host if self.health.is_usable(now_us, host) else None
--- a/hoistplank/decision/parts.py
+++ b/hoistplank/decision/parts.py
@@ -42,12 +42,13 @@
         self.class_states = {row.name: TrafficClassState(row) for row in settings.traffic_classes}
         class_states = tuple(self.class_states.values())
         self.hosts = HostTable(settings)
-        self.list_confirmation = ListConfirmation(settings.rules.drain_grace_us)
+        rules = settings.rules
+        self.list_confirmation = ListConfirmation(rules.drain_grace_us, rules.purge_grace_us)
         self.slow_start = types.slow_start(settings, self.hosts, class_states)
         self.health = types.health(self.hosts, self.slow_start)
         self.host_limits = HostLimits(settings, self.health)
         self.fills = types.fills(settings, self.health, class_states)
-        self.purges = PurgeWatermarks(settings.purge_hold_us)
+        self.purges = PurgeWatermarks(settings.purge_hold_us, self.list_confirmation.copies_valid_from_us)
         self.herds = types.herds(self.purges, self.health)
         self.retries = RetryPolicy(settings, random)
         self.overload = OverloadGuard(settings)
--- a/hoistplank/decision/purges.py
+++ b/hoistplank/decision/purges.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import OrderedDict
+from collections.abc import Callable
 from typing import NamedTuple
 
 from hoistplank.decision.requests import Request
@@ -23,11 +24,20 @@
 NO_WATERMARK = PurgeWatermark(0, 0)
 
 
+def all_purges_known(now_us: int) -> int:  # noqa: ARG001  has the signature of `copies_valid_from_us`
+    """Returns the time before which copies may be invalid by a purge that is not known: 0 for none."""
+    return 0
+
+
 class PurgeWatermarks:
-    """The watermarks in the order in which they were last received, each kept for `hold_us`."""
+    """The watermarks in the order in which they were last received, each kept for `hold_us`.
 
-    def __init__(self, hold_us: int) -> None:
-        self.hold_us = hold_us
+    `copies_valid_from_us` returns the time before which a purge that is not known may have invalidated any
+    copy, 0 while all purges are known.
+    """
+
+    def __init__(self, hold_us: int, copies_valid_from_us: Callable[[int], int] = all_purges_known) -> None:
+        self.hold_us, self.copies_valid_from_us = hold_us, copies_valid_from_us
         self.by_key: OrderedDict[str | int, PurgeWatermark] = OrderedDict()
 
     def receive(self, now_us: int, object_key: str, purge_group: int, age_us: int) -> None:
@@ -49,12 +59,14 @@
         earlier = self.by_key.pop(key, NO_WATERMARK)
         self.by_key[key] = PurgeWatermark(max(earlier.purged_us, purged_us), now_us)
 
-    def watermark_us(self, request: Request) -> int:
+    def watermark_us(self, now_us: int, request: Request) -> int:
         """Returns the time before which copies must not answer the request (rule five), 0 for no bound."""
+        unknown_us = self.copies_valid_from_us(now_us)
         by_key = self.by_key
         if not by_key:
-            return 0
+            return unknown_us
         return max(
+            unknown_us,
             by_key.get(request.object_key, NO_WATERMARK).purged_us,
             by_key.get(request.purge_group, NO_WATERMARK).purged_us,
             by_key.get(ALL_OBJECTS, NO_WATERMARK).purged_us,
@@ -65,9 +77,15 @@
 
         Without a watermark that applies to the request, it is `wanted_us`.
         """
-        watermark_us = self.watermark_us(request)
+        watermark_us = self.watermark_us(now_us, request)
         if not watermark_us:
             return wanted_us
         age_us = now_us - watermark_us
         # An age of 0 would mean that of the class, so the lowest age is 1.
         return max(1, min(age_us, wanted_us or request.traffic_class.fresh_us or age_us))
+
+    def permits_max_age(self, now_us: int, request: Request, max_age_us: int) -> bool:
+        """Returns True if an attempt with this maximum age, 0 for that of its class, may still be sent."""
+        watermark_us = self.watermark_us(now_us, request)
+        oldest_age_us = max_age_us or request.traffic_class.fresh_us
+        return not watermark_us or 0 < oldest_age_us <= max(1, now_us - watermark_us)
--- a/hoistplank/decision/router.py
+++ b/hoistplank/decision/router.py
@@ -91,6 +91,14 @@
         """Returns True if the current endpoint list permits attempts; checked again at the first byte."""
         return self.parts.list_confirmation.permits_attempts(now_us)
 
+    def permits_max_age(self, now_us: int, request_id: str, max_age_us: int) -> bool:
+        """Returns True if no purge forbids an attempt that accepts copies of up to `max_age_us`, 0 for the
+        fresh time of its class; checked again at the first byte."""
+        request = self.requests.get(request_id)
+        if request is None or request.traffic_class.uncached:
+            return True
+        return self.parts.purges.permits_max_age(now_us, request, max_age_us)
+
     def next_action(self, now_us: int) -> Action | None:
         """Returns the next action, or None if there is none left."""
         if self.changed:
--- a/hoistplank/decision/settings.py
+++ b/hoistplank/decision/settings.py
@@ -74,6 +74,14 @@
     max_retry_after_us: int
     must_watch_endpoints: bool
     poll_interval_us: int
+    purge_grace_us: int | None = None  # None if the deployment states none
+
+    @property
+    def shortest_grace_us(self) -> int:
+        """The time within which each change of the endpoint list or of the purges has to be received."""
+        if self.purge_grace_us is None:
+            return self.drain_grace_us
+        return min(self.drain_grace_us, self.purge_grace_us)
 
 
 @dataclass(frozen=True, slots=True)
--- a/hoistplank/distribution/service.py
+++ b/hoistplank/distribution/service.py
@@ -65,7 +65,7 @@
             self.settings(),
             configuration.known,
             Random(configuration.seed),
-            configuration.router_settings.rules.drain_grace_us / 1e6,
+            configuration.router_settings.rules.shortest_grace_us / 1e6,
             self._prepare,
         )
         self.follower = program.endpoint_watcher = follower
--- a/hoistplank/fakes/settings.py
+++ b/hoistplank/fakes/settings.py
@@ -38,6 +38,7 @@
         "stream_kb_per_s": 3400.0,
         "zone_link_kb_per_s": [0.0, 800000.0],
         "instances_by_zone": [0, 1],
+        "purge_grace": 1.0,
     },
     "limits": {
         "connect_timeout": 0.4,
--- a/hoistplank/lab/scale/hollow_process.py
+++ b/hoistplank/lab/scale/hollow_process.py
@@ -161,7 +161,7 @@
             known=known,
             epoch=epoch,
             chance=chance,
-            grace_s=dispatcher.site.rules.drain_grace_us / 1e6,
+            grace_s=dispatcher.site.rules.shortest_grace_us / 1e6,
         )
         dispatcher.audited = Position(epoch, known.seq)
         dispatcher.start(self.factory, source)
--- a/hoistplank/program/configuration.py
+++ b/hoistplank/program/configuration.py
@@ -176,6 +176,7 @@
     rules = settings.rules
     for key, value in (
         ("rules.stop_sending_within", rules.drain_grace_us),
+        ("family_info.purge_grace", rules.purge_grace_us or 0),
         ("rules.cold", rules.warm_up_us),
         ("limits.connect_timeout", rules.connect_timeout_us),
         ("limits.max_retry_after", rules.max_retry_after_us),
--- a/hoistplank/program/service.py
+++ b/hoistplank/program/service.py
@@ -100,7 +100,7 @@
             configuration.changelog,
             configuration.known,
             Random(configuration.seed),
-            configuration.router_settings.rules.drain_grace_us / 1e6,
+            configuration.router_settings.rules.shortest_grace_us / 1e6,
         )
 
     def _read_pending(self) -> None:
--- a/hoistplank/routing/attempts.py
+++ b/hoistplank/routing/attempts.py
@@ -71,6 +71,7 @@
     endpoints: EndpointRegistry
     standstills: StandstillDetector
     max_start_delay_us: int
+    max_purge_delay_us: int
 
     def submit(self, event: AttemptEnded) -> None:
         """Takes the event that the attempt ended."""
@@ -78,6 +79,9 @@
     def permits_attempts(self, now: int, /) -> bool:
         """Returns whether the current endpoint list permits attempts at all."""
 
+    def permits_max_age(self, now: int, request_id: str, max_age_us: int, /) -> bool:
+        """Returns whether an attempt may accept copies of up to this age, 0 for that of its class."""
+
 
 class Attempt:
     """A request sent to one cache host through the pool; it reports its end to its owner once.
@@ -100,7 +104,7 @@
         self.host, self.source = action.host, action.source
         self.decided_us = now
         self._standstills = owner.standstills.count  # up to the decision
-        self.start_by_us = action.start_by_us
+        self.start_by_us, self.max_age_us = action.start_by_us, action.max_age_us
         self.decided_at = asyncio.get_running_loop().time()
         self.connection: PooledConnection | None = None
         self.timer: asyncio.TimerHandle | None = None
@@ -124,9 +128,17 @@
             return False
         if self.source and not self.owner.endpoints.is_up(self.source):
             return False
+        return self._is_in_time()
+
+    def _is_in_time(self) -> bool:
         if 0 < self.start_by_us < self.started_us:
             return False
-        return self.started_us - self.decided_us <= self.owner.max_start_delay_us
+        delay_us = self.started_us - self.decided_us
+        if delay_us <= self.owner.max_purge_delay_us:
+            return True
+        if delay_us > self.owner.max_start_delay_us:
+            return False
+        return self.owner.permits_max_age(self.started_us, self.id, self.max_age_us)
 
     def encode(self) -> bytes:
         """Returns its message, with the time that its client has left when sending starts."""
--- a/hoistplank/routing/endpoint_watcher.py
+++ b/hoistplank/routing/endpoint_watcher.py
@@ -48,9 +48,9 @@
 MAX_READS_AT_ONCE = 16
 MAX_PENDING_READS = 1_024  # after a standstill
 # Backoff between attempts to connect. Events in the log count as received even by a dispatcher that is not
-# connected. The longest backoff is therefore a share of a drain's grace period, so that a drain is received
-# within that period once the log is reachable again.
-MIN_BACKOFF_S, MAX_BACKOFF_S, MAX_BACKOFF_SHARE_OF_DRAIN_GRACE = 0.05, 1.0, 0.6
+# connected. The longest backoff is therefore a share of the shorter grace period, of drains or of purges, so
+# that both are received within theirs once the log is reachable again.
+MIN_BACKOFF_S, MAX_BACKOFF_S, MAX_BACKOFF_SHARE_OF_GRACE = 0.05, 1.0, 0.6
 
 
 class LogObserver(Protocol):
@@ -75,9 +75,9 @@
 class EndpointWatcher:
     """Keeps a connection to the change log and submits its events to `receiver`.
 
-    `chance` randomizes the backoff, so that a fleet does not reconnect at once; `grace_s` is how long a
-    draining host still accepts requests. `last_seq` is the number of the last submitted event; `has_list` is
-    true if an endpoint list was among the submitted events.
+    `chance` randomizes the backoff, so that a fleet does not reconnect at once; `grace_s` is the shorter of
+    the grace periods of drains and of purges. `last_seq` is the number of the last submitted event;
+    `has_list` is true if an endpoint list was among the submitted events.
     """
 
     def __init__(
@@ -89,9 +89,7 @@
         grace_s: float = 0.25,
     ) -> None:
         self.check_interval_s, self.stall_timeout_s = CHECK_INTERVAL_S, STALL_TIMEOUT_S
-        self.max_backoff_s = max(
-            MIN_BACKOFF_S, min(MAX_BACKOFF_S, MAX_BACKOFF_SHARE_OF_DRAIN_GRACE * grace_s)
-        )
+        self.max_backoff_s = max(MIN_BACKOFF_S, min(MAX_BACKOFF_S, MAX_BACKOFF_SHARE_OF_GRACE * grace_s))
         self.observer: LogObserver | None = None
         self.receiver, self.address, self.chance = receiver, address, chance.random
         self.last_seq = 0
--- a/hoistplank/settings_reader.py
+++ b/hoistplank/settings_reader.py
@@ -59,6 +59,7 @@
 
 
 def _read_rules(fields: Fields) -> RuleLimits:
+    purge_grace = SITE_PREFIX + "purge_grace"
     return RuleLimits(
         drain_grace_us=fields.microseconds("rules.stop_sending_within", 0),
         warm_up_initial_share=fields.number("rules.cold_from", 1.0),
@@ -80,6 +81,7 @@
         max_retry_after_us=fields.microseconds("limits.max_retry_after", 0),
         must_watch_endpoints=fields.text("discovery", "") == "subscribe",
         poll_interval_us=fields.microseconds("rules.ask_every", 0),
+        purge_grace_us=fields.microseconds(purge_grace) if purge_grace in fields.pairs else None,
     )
 
 
--- a/hoistplank/xds/control.py
+++ b/hoistplank/xds/control.py
@@ -80,11 +80,14 @@
         self.clock = Clock()
         self.resources = ResourceCache(configuration.router_settings.purge_hold_us)
         self.broadcaster = Broadcaster(self.resources, self.clock.now, limits)
-        self.list_confirmation = ListConfirmation(configuration.router_settings.rules.drain_grace_us)
+        rules = configuration.router_settings.rules
+        self.list_confirmation = ListConfirmation(rules.drain_grace_us, rules.purge_grace_us)
         self.server: Any = None  # of grpc.aio, which has no types
         self.port = 0
         random = Random(configuration.seed)
-        self.endpoint_watcher = EndpointWatcher(self, configuration.changelog, configuration.known, random)
+        self.endpoint_watcher = EndpointWatcher(
+            self, configuration.changelog, configuration.known, random, rules.shortest_grace_us / 1e6
+        )
 
     def submit(self, event: Event) -> None:
         """Applies an event of the change log and publishes its changes at once, drains and purges first."""
