A failover test waits until both replicas have read their logs before it starts the dispatcher

What was seen: test_failover_to_a_lagging_replica_keeps_the_newer_state failed once in the whole suite (1 failed, 1,250 passed before the run stopped there): the dispatcher never had version 7/4 in force.

Cause: the test's own race. Its dispatcher started before the first replica had read its log, was sent on to the lagging one ("the change log has not been read yet"), and stayed there for longer than the test waits.

Evidence: the run's log has the two redirects, then configuration 7/2 applied.

Why the fix works: both replicas have their versions and have read their logs before the dispatcher starts; every check stands as it was.

--- a/tests/test_distribution_failover.py
+++ b/tests/test_distribution_failover.py
@@ -103,6 +103,9 @@
                 log.publish({"seq": 2, "configuration": {"text": "old"}})
             rig.publish_hosts(3, b="draining")
             rig.log.publish_configuration(4, "new")
+            # A replica that has not read its log yet sends a dispatcher on to the other one.
+            await until(lambda: [replica.state.version for replica in rig.replicas] == [at(4), at(2)])
+            await until(lambda: all(replica.log_follower.is_caught_up() for replica in rig.replicas))
             new, old = rig.addresses
             one = rig.start_dispatcher("d1", [new, old])
             one.follower.selection.order = (new, old)
