The time limit of unfinished requests is a class of its own

UnfinishedRequests holds since when each request of a connection has arrived only in part; the limit and what follows from it are as before. The tests of clients, their connections and requests pass.

--- a/hoistplank/routing/client_session.py
+++ b/hoistplank/routing/client_session.py
@@ -16,6 +16,7 @@
 from hoistplank.routing.request_intake import RequestIntake, is_health_check
 from hoistplank.routing.response import FastCgiResponse
 from hoistplank.routing.router_task import RouterTask
+from hoistplank.routing.unfinished_requests import UnfinishedRequests
 from hoistplank.transport.connection import Connection, Consume
 from hoistplank.transport.descriptor_budget import ConnectionKind, DescriptorBudget
 
@@ -73,8 +74,7 @@
         self.has_sent_request = False  # it sent a valid request, or one that was shed
         self.complete_requests = 0
         self.reported_held_bytes = 0  # bytes held by its requests, as last reported to the frontend
-        # By number: the time of the sweep that first found a request unfinished.
-        self.unfinished_since: dict[int, float] = {}
+        self.unfinished = UnfinishedRequests()  # as the last sweep found them
         self.connection = make_connection(sock, self.consume, MAX_RECORD_BYTES, MAX_UNSENT_BEFORE_PAUSE_BYTES)
         loop = asyncio.get_running_loop()
         self.opened_at = loop.time()
@@ -341,16 +341,9 @@
             self.connection.read_now()
             if not self.has_sent_request:
                 return "no complete request in time"
-        if not self.has_unfinished_request():
-            self.unfinished_since = {}
-            return ""
         numbers = [number for number in self.reader.requests if number not in self.reader.complete]
-        if not numbers:
+        if not numbers and self.connection.has_partial_message:
             # A partial record without a request number; its timeout ends with the next complete request.
             numbers = [-1 - self.complete_requests]
-        self.unfinished_since = {number: self.unfinished_since.get(number, now) for number in numbers}
-        return "request not completed in time" if self.is_stalled(now, timeout_s) else ""
-
-    def is_stalled(self, now: float, timeout_s: float) -> bool:
-        """Returns whether one of its requests has been unfinished for longer than `timeout_s`."""
-        return any(now - since > timeout_s for since in self.unfinished_since.values())
+        self.unfinished.update(now, numbers)
+        return "request not completed in time" if self.unfinished.is_stalled(now, timeout_s) else ""
--- a/hoistplank/routing/frontend.py
+++ b/hoistplank/routing/frontend.py
@@ -183,7 +183,9 @@
     Unfinished requests younger than that may be of well-behaved clients whose data is read late.
     """
     for session in sessions:
-        if session.is_answered() and session.is_stalled(now, session.frontend.unfinished_timeout_s / 2):
+        if session.is_answered() and session.unfinished.is_stalled(
+            now, session.frontend.unfinished_timeout_s / 2
+        ):
             session.connection.close()
             return True
     return False
