Unread requests are answered when an unfinished one closes their connection

What callers would see: one client's request stops half-way, its time is over, and whole requests that others handed over on the same connection just before, or while reading was paused, get no answer.

Cause: Frontend closed a timed-out connection by what had been read; what lay unread was dropped or reset.

Evidence: test_unread_requests_are_answered_when_an_unfinished_one_closes_the_connection fails on the text before for both ways: the end of the stream for the time limit, a reset for the lack of descriptors.

--- a/hoistplank/routing/frontend.py
+++ b/hoistplank/routing/frontend.py
@@ -106,8 +106,8 @@
             return  # its close has a timeout of its own
         elif (session.is_closing or connection.last_read_at < now - IDLE_TIMEOUT_S) and session.is_idle():
             connection.close_gracefully()
-        elif not session.has_failed and (reason := session.timeout_reason(now)):
-            session.close_with_failure(reason)
+        elif not session.has_failed and session.timeout_reason(now):
+            _close_timed_out(session, now)
         else:
             session.submit_expiring(self.router_task.clock.now())
             connection.release_buffer()
@@ -169,6 +169,17 @@
             session.connection.close()
 
 
+def _close_timed_out(session: ClientSession, now: float) -> None:
+    """Closes a session that has timed out, unless what has arrived and was not read yet completes it.
+
+    Reading may be paused: complete requests that are unread would be lost.
+    """
+    session.read_pending(MAX_PENDING_READS)
+    reason = session.timeout_reason(now)
+    if reason and not session.connection.is_closed:
+        session.close_with_failure(reason)
+
+
 def _close_silent(sessions: list[ClientSession]) -> None:
     """Closes the oldest quarter of the failed or silent sessions."""
     for session in sessions[: max(1, len(sessions) // 4)]:
@@ -183,9 +194,11 @@
     Unfinished requests younger than that may be of well-behaved clients whose data is read late.
     """
     for session in sessions:
-        if session.is_answered() and session.unfinished.is_stalled(
-            now, session.frontend.unfinished_timeout_s / 2
-        ):
+        timeout_s = session.frontend.unfinished_timeout_s / 2
+        if not session.is_answered() or not session.unfinished.is_stalled(now, timeout_s):
+            continue
+        session.read_pending(MAX_PENDING_READS)
+        if session.is_answered():
             session.connection.close()
             return True
     return False
--- a/tests/test_client_misuse.py
+++ b/tests/test_client_misuse.py
@@ -15,6 +15,7 @@
 from hoistplank.protocol import fastcgi
 from hoistplank.routing.misuse_throttle import BURST, INVALID_REQUEST_COST, REFILL_PER_S, MisuseThrottle
 from tests.dispatcher_scene import SteadyDispatcher, request_bytes, served, session_of_the_client, silent
+from tests.helpers import until
 from tests.scene_runner import run_scene
 
 FLOOD_S = 1.5
@@ -71,6 +72,37 @@
     run_scene(scene())
 
 
+@pytest.mark.parametrize("closes", ["time limit", "lack of descriptors"])
+def test_unread_requests_are_answered_when_an_unfinished_one_closes_the_connection(
+    tmp_path: Path, closes: str
+) -> None:
+    """Guards against requests lost that were handed over while reading was paused."""
+
+    async def scene() -> None:
+        async with SteadyDispatcher(tmp_path, hosts()) as dispatcher:
+            frontend, client = dispatcher.service.frontend, await dispatcher.connect()
+            client.send(1, "page")
+            assert (await client.read_answer())[:2] == (1, 200)
+            session = await session_of_the_client(dispatcher)
+            client.writer.write(request_bytes(2)[:16])  # its rest never comes
+            await until(lambda: session.has_unfinished_request())
+            frontend.sweep()
+            session.connection.pause_reading(5.0)
+            client.send(3, "page", unique(3))
+            await until(lambda: session.connection.last_arrival_age_us() < 5_000)
+            if closes == "time limit":
+                frontend.unfinished_timeout_s = 0.0
+                await until(lambda: session.has_failed)
+            else:
+                await asyncio.sleep(0.01)
+                frontend.unfinished_timeout_s = 0.0
+                frontend.reclaim()
+            number, status, _, _ = await asyncio.wait_for(client.read_answer(), 2)
+            assert number == 3 and status in (200, 502)
+
+    run_scene(scene())
+
+
 class CorrectClient:
     """A web server far away: its records reach the reader, and its answers reach it, some steps later."""
 
