The second check for purges at an attempt's first byte stands in the decision logic

What callers would see: with a purge's grace over 1.67 s, an attempt that waited for its connection for longer than the connect timeout and 0.1 s was still sent, up to 0.3 of the grace; found by reading again, before any deployment has such a grace.

Cause: the share of the grace that needs no check was asked before the limit on the wait, and stood outside the files of the decisions.

Why the fix works: the limit on the wait comes first; Router.permits_max_age decides which attempts need the check, by a named share in decision/purges.py. test_late_attempt_is_checked_for_purges_after_a_share_of_their_grace holds both sides of it.

--- a/hoistplank/decision/list_confirmation.py
+++ b/hoistplank/decision/list_confirmation.py
@@ -33,7 +33,8 @@
 # The maximum age of copies then, as a share of the grace time: a host counts the age when it reads a request.
 COPY_AGE_SHARE = 0.9
 # Changes of a source that broke off and can't be asked count as received 2 s after the break, those of a
-# silent source 4 s after its last message, which is noticed 2.3 s after it at the latest.
+# silent source 4 s after its last message, which is noticed 2.3 s after it at the latest. A start is treated
+# like a break.
 RECEIVED_AFTER_LOSS_US = 1_500_000
 
 
--- a/hoistplank/decision/purges.py
+++ b/hoistplank/decision/purges.py
@@ -10,6 +10,9 @@
 
 # The purges of an hour in the largest fleet are 14,000, which may all be received at once.
 MAX_WATERMARKS = 16_384
+# The share of a purge's grace time for which an attempt needs no check beyond that of its decision: a purge
+# that was received since, or that is unseen and begins to bind at `PURGE_GRACE_SHARE`, is still in its grace.
+UNCHECKED_GRACE_SHARE = 0.3
 # The purge group of a purge of all objects, and the key of that watermark; no request belongs to this group.
 ALL_OBJECTS = -1
 
--- a/hoistplank/decision/router.py
+++ b/hoistplank/decision/router.py
@@ -39,6 +39,7 @@
 from hoistplank.decision.hosts import WARM
 from hoistplank.decision.parts import DEFAULT_TYPES, Parts, PartTypes
 from hoistplank.decision.placement import GIVE_UP, Placement, PlannedAttempt
+from hoistplank.decision.purges import UNCHECKED_GRACE_SHARE
 from hoistplank.decision.requests import Attempt, Request
 from hoistplank.decision.settings import IDEMPOTENT, RouterSettings
 
@@ -67,6 +68,10 @@
         self.actions: deque[Action] = deque()
         self.changed = False  # an event was reported since the last decisions
         self.watching = False
+        # An attempt that begins within this time of its decision needs no second check for purges.
+        self.unchecked_delay_us = settings.longest_deadline_us
+        if settings.rules.purge_grace_us is not None:
+            self.unchecked_delay_us = int(settings.rules.purge_grace_us * UNCHECKED_GRACE_SHARE)
         self.timer_id = 0
         self.timer_due_us = 0  # 0 while no timer is set
         self._handlers: dict[type, Callable[[int, Any], None]] = {
@@ -91,9 +96,11 @@
         """Returns True if the current endpoint list permits attempts; checked again at the first byte."""
         return self.parts.list_confirmation.permits_attempts(now_us)
 
-    def permits_max_age(self, now_us: int, request_id: str, max_age_us: int) -> bool:
-        """Returns True if no purge forbids an attempt that accepts copies of up to `max_age_us`, 0 for the
-        fresh time of its class; checked again at the first byte."""
+    def permits_max_age(self, now_us: int, decided_us: int, request_id: str, max_age_us: int) -> bool:
+        """Returns True if no purge since `decided_us` forbids an attempt that accepts copies of up to
+        `max_age_us`, 0 for the fresh time of its class; checked again at the first byte."""
+        if now_us - decided_us <= self.unchecked_delay_us:
+            return True
         request = self.requests.get(request_id)
         if request is None or request.traffic_class.uncached:
             return True
--- a/hoistplank/routing/attempts.py
+++ b/hoistplank/routing/attempts.py
@@ -71,7 +71,6 @@
     endpoints: EndpointRegistry
     standstills: StandstillDetector
     max_start_delay_us: int
-    max_purge_delay_us: int
 
     def submit(self, event: AttemptEnded) -> None:
         """Takes the event that the attempt ended."""
@@ -79,8 +78,8 @@
     def permits_attempts(self, now: int, /) -> bool:
         """Returns whether the current endpoint list permits attempts at all."""
 
-    def permits_max_age(self, now: int, request_id: str, max_age_us: int, /) -> bool:
-        """Returns whether an attempt may accept copies of up to this age, 0 for that of its class."""
+    def permits_max_age(self, now: int, attempt: Attempt, /) -> bool:
+        """Returns whether an attempt may still accept copies of the age that was decided."""
 
 
 class Attempt:
@@ -133,12 +132,9 @@
     def _is_in_time(self) -> bool:
         if 0 < self.start_by_us < self.started_us:
             return False
-        delay_us = self.started_us - self.decided_us
-        if delay_us <= self.owner.max_purge_delay_us:
-            return True
-        if delay_us > self.owner.max_start_delay_us:
+        if self.started_us - self.decided_us > self.owner.max_start_delay_us:
             return False
-        return self.owner.permits_max_age(self.started_us, self.id, self.max_age_us)
+        return self.owner.permits_max_age(self.started_us, self)
 
     def encode(self) -> bytes:
         """Returns its message, with the time that its client has left when sending starts."""
--- a/hoistplank/routing/router_task.py
+++ b/hoistplank/routing/router_task.py
@@ -48,8 +48,6 @@
 UNLIMITED_OPEN_REQUESTS = 1 << 30  # if the settings set no cap
 # An attempt that starts later after its decision than the connect timeout plus this margin is decided again.
 START_DELAY_MARGIN_US = 100_000
-# With the share after which unseen purges bind (`PURGE_GRACE_SHARE`), it stays below the grace period.
-UNCHECKED_PURGE_GRACE_SHARE = 0.3
 LAG_DECAY_DIVISOR = 8  # the lag falls by this fraction of itself a turn, unless the loop is that late again
 
 AttemptObserver = Callable[[Attempt, AttemptEnding], None]
@@ -82,10 +80,6 @@
         self.tick_s = min(MAX_TICK_S, settings.tick_us / 1e6)
         self.retry_after_us = settings.rules.max_retry_after_us // 2 * settings.rules.may_send_retry_after
         self.max_start_delay_us = settings.rules.connect_timeout_us + START_DELAY_MARGIN_US
-        # An attempt that begins within this time of its decision needs no second check for purges.
-        self.max_purge_delay_us = self.max_start_delay_us
-        if settings.rules.purge_grace_us is not None:
-            self.max_purge_delay_us = int(settings.rules.purge_grace_us * UNCHECKED_PURGE_GRACE_SHARE)
         self.drain_deadline_us = 0  # upper limit of deadlines during a drain; 0 before it
         self.standstills = StandstillDetector()
         self.attempt_observer: AttemptObserver | None = None  # called when an attempt ends
@@ -296,10 +290,10 @@
         """Returns whether the endpoint list permits attempts; called at an attempt's first byte."""
         return self.router.permits_attempts(now)
 
-    def permits_max_age(self, now: int, request_id: str, max_age_us: int) -> bool:
-        """Returns whether an attempt may accept copies of this age; called at its first byte if that is
-        late."""
-        return self.router.permits_max_age(now, request_id, max_age_us)
+    def permits_max_age(self, now: int, attempt: Attempt) -> bool:
+        """Returns whether an attempt may still accept copies of the age that was decided; called at its first
+        byte."""
+        return self.router.permits_max_age(now, attempt.decided_us, attempt.id, attempt.max_age_us)
 
     def _on_purge_received(self, now: int, event: PurgeReceived) -> None:
         age_us = max(0, now - event.made_us)
--- a/tests/test_unseen_purges.py
+++ b/tests/test_unseen_purges.py
@@ -19,6 +19,7 @@
     EndpointsUpdated,
     EndpointWatchStage,
     EndpointWatchStageChanged,
+    PurgeReceived,
     RequestArrived,
 )
 from hoistplank.decision.list_confirmation import ListConfirmation
@@ -310,6 +311,20 @@
     run_scene(scene())
 
 
+@pytest.mark.parametrize("purge_grace_s, delay_s", [(0.3, 0.2), (3.0, 2.0)])
+def test_late_attempt_is_checked_for_purges_after_a_share_of_their_grace(
+    purge_grace_s: float, delay_s: float
+) -> None:
+    rules = replace(SITE.rules, purge_grace_us=int(purge_grace_s * S))
+    router = Router(replace(SITE, rules=rules), 1)
+    router.handle(S, RequestArrived("r1", "video", "x", 0, 3, 100.0, 10 * S, False))
+    router.handle(S, PurgeReceived("", 3, 0))
+    decided_us, sent_us = S, S + int(delay_s * S)
+    assert not router.permits_max_age(sent_us, decided_us, "r1", 0)
+    assert router.permits_max_age(sent_us, decided_us, "r1", 50 * MS)
+    assert router.permits_max_age(decided_us + int(0.2 * purge_grace_s * S), decided_us, "r1", 0)
+
+
 def test_graces_of_drains_and_purges_are_read_and_the_shorter_bounds_the_backoff(tmp_path: Path) -> None:
     loaded = configuration(
         tmp_path, **{"settings.rules.stop_sending_within": 2.0, "settings.family_info.purge_grace": 0.3}
