Each unfinished request has a time limit of its own, whatever number it uses

What callers would see: a web server's connection on which each request arrives in time is ended after 2 s, and the others on it get 502.

Why the fix works: an unfinished request, or record, is identified by the number of records that were read before it, which no two share. The limit itself stands, and a request that is never completed still ends its connection (end of the first test).

--- a/hoistplank/protocol/fastcgi/events.py
+++ b/hoistplank/protocol/fastcgi/events.py
@@ -24,6 +24,8 @@
     body_complete: bool = False
     error: str = ""
     held_bytes: int = 0  # content of its records that counts against the reader's `held_bytes`
+    # The records read before it, which tell apart incomplete requests that use one number in turn.
+    began_at_record: int = field(default=0, compare=False)
 
     def parameters(self) -> dict[str, str]:
         """Returns the parameters by name; raises FastCgiError if lengths and content don't match, or a name
--- a/hoistplank/protocol/fastcgi/reader.py
+++ b/hoistplank/protocol/fastcgi/reader.py
@@ -65,6 +65,7 @@
         # KEEP_CONN flag of requests that were shed or rejected before they were complete, until their STDIN
         # ends; the latest `max_requests` of them.
         self.shed_requests: dict[int, bool] = {}
+        self.records_read = 0  # in total; a request that is read in one step counts as one
         # Records so far that belong to no request, which only a client that breaks the protocol sends in
         # large numbers. The owner limits their rate.
         self.stray_records = 0
@@ -84,6 +85,7 @@
         while event is None and end - start >= _HEADER_BYTES:
             if buffer[start + 1] == BEGIN_REQUEST:
                 start, event = self._read_whole_request(buffer, start, end)
+                self.records_read += event is not None
                 if isinstance(event, ProtocolReply):
                     shed.append(event.data)
                     event = None
@@ -100,6 +102,7 @@
             if end < record_end:
                 break
             event = self._read_record(kind, number, buffer[content_start : content_start + length])
+            self.records_read += 1
             start = record_end
         events = [] if event is None else [event]
         if shed:
@@ -263,7 +266,7 @@
         if rejection is not None:
             self._skip_rest(number, keep_connection=keep_connection)
             return rejection
-        self.requests[number] = FastCgiRequest(number, keep_connection)
+        self.requests[number] = FastCgiRequest(number, keep_connection, began_at_record=self.records_read)
         return None
 
     def _read_params(self, request: FastCgiRequest, content: bytearray) -> Event | None:
--- a/hoistplank/routing/client_session.py
+++ b/hoistplank/routing/client_session.py
@@ -72,7 +72,6 @@
         self.is_closing = False  # it closes once nothing is pending on it
         self.has_failed = False  # its input is unusable: nothing more is read
         self.has_sent_request = False  # it sent a valid request, or one that was shed
-        self.complete_requests = 0
         self.reported_held_bytes = 0  # bytes held by its requests, as last reported to the frontend
         self.unfinished = UnfinishedRequests()  # as the last sweep found them
         self.connection = make_connection(sock, self.consume, MAX_RECORD_BYTES, MAX_UNSENT_BEFORE_PAUSE_BYTES)
@@ -137,7 +136,6 @@
         """Handles a complete request; `is_last` says that no further data was read after it."""
         response = FastCgiResponse(self, received.number, received.keep_connection)
         self.open_requests[received.number] = None
-        self.complete_requests += 1
         try:
             if received.error:
                 raise ProtocolError(received.error)
@@ -341,9 +339,11 @@
             self.connection.read_now()
             if not self.has_sent_request:
                 return "no complete request in time"
-        numbers = [number for number in self.reader.requests if number not in self.reader.complete]
-        if not numbers and self.connection.has_partial_message:
-            # A partial record without a request number; its timeout ends with the next complete request.
-            numbers = [-1 - self.complete_requests]
-        self.unfinished.update(now, numbers)
+        reader = self.reader
+        requests = reader.requests.values()
+        began_at = [one.began_at_record for one in requests if one.number not in reader.complete]
+        if not began_at and self.connection.has_partial_message:
+            # A partial record without a request number; the next one has a time limit of its own.
+            began_at = [reader.records_read]
+        self.unfinished.update(now, began_at)
         return "request not completed in time" if self.unfinished.is_stalled(now, timeout_s) else ""
--- a/hoistplank/routing/unfinished_requests.py
+++ b/hoistplank/routing/unfinished_requests.py
@@ -6,9 +6,11 @@
 
 
 class UnfinishedRequests:
-    """The unfinished requests of one connection, by number, each with the time at which it was first found.
+    """The unfinished requests of one connection, each with the time at which it was first found.
 
-    Times are seconds of one monotonic clock. What arrives of a request meanwhile does not extend its time.
+    A request, or a record without one, is identified by the number of records read before it, as request
+    numbers are used again. Times are seconds of one monotonic clock. What arrives of
+    a request meanwhile does not extend its time.
     """
 
     __slots__ = ("_since",)
@@ -16,9 +18,9 @@
     def __init__(self) -> None:
         self._since: dict[int, float] = {}
 
-    def update(self, now: float, numbers: Iterable[int]) -> None:
-        """Takes the numbers of all requests that are unfinished now."""
-        self._since = {number: self._since.get(number, now) for number in numbers}
+    def update(self, now: float, began_at: Iterable[int]) -> None:
+        """Takes all requests that are unfinished now."""
+        self._since = {record: self._since.get(record, now) for record in began_at}
 
     def is_stalled(self, now: float, timeout_s: float) -> bool:
         """Returns whether one of them has been unfinished for longer than `timeout_s`."""
--- a/tests/test_client_misuse.py
+++ b/tests/test_client_misuse.py
@@ -103,6 +103,60 @@
     run_scene(scene())
 
 
+def test_requests_that_use_one_number_in_turn_have_a_time_limit_each(tmp_path: Path) -> None:
+    """Guards against a connection ended as unfinished by requests that each arrived in time: they had one
+    number, and one of them was incomplete at each sweep."""
+
+    async def scene() -> None:
+        async with SteadyDispatcher(tmp_path, hosts()) as dispatcher:
+            client = await dispatcher.connect()
+            client.send(1, "page", unique(1))
+            assert (await client.read_answer())[:2] == (1, 200)
+            session = await session_of_the_client(dispatcher)
+            dispatcher.service.frontend.unfinished_timeout_s = 0.3
+            client.writer.write(request_bytes(1, fields=unique(2))[:-8])
+            for number in range(3, 12):
+                await asyncio.sleep(0.1)
+                client.writer.write(request_bytes(1)[-8:])
+                assert (await asyncio.wait_for(client.read_answer(), 2))[:2] == (1, 200), number
+                client.writer.write(request_bytes(1, fields=unique(number))[:-8])
+            assert not session.has_failed
+            await until(lambda: session.has_failed)  # the last one is never completed
+
+    run_scene(scene())
+
+
+@pytest.mark.parametrize("records", ["shed requests", "late aborts"])
+def test_connection_stays_while_its_records_are_read_and_none_is_a_request_to_serve(
+    tmp_path: Path, records: str
+) -> None:
+    """Guards against a connection ended as unfinished though each of its records had arrived in time: only
+    served requests counted as progress, and there was a part of a next record at each sweep."""
+
+    async def scene() -> None:
+        async with SteadyDispatcher(tmp_path, hosts()) as dispatcher:
+            frontend, router_task = dispatcher.service.frontend, dispatcher.service.router_task
+            client = await dispatcher.connect()
+            client.send(1, "page", unique(1))
+            assert (await client.read_answer())[:2] == (1, 200)
+            session = await session_of_the_client(dispatcher)
+            frontend.unfinished_timeout_s = 0.3
+            if records == "shed requests":
+                router_task.requests.open_count = 100_000
+            unit = request_bytes(1) if records == "shed requests" else LATE_ABORT
+            client.writer.write(unit[:5])
+            reading = asyncio.create_task(drain(client))
+            for _ in range(50):
+                client.writer.write(unit[5:] + unit[:5])
+                await asyncio.sleep(0.02)
+                assert not session.has_failed
+            assert session.connection.has_partial_message
+            router_task.requests.open_count = 0
+            reading.cancel()
+
+    run_scene(scene())
+
+
 class CorrectClient:
     """A web server far away: its records reach the reader, and its answers reach it, some steps later."""
 
