Requests refused or aborted before they are complete draw on the misuse allowance

What callers would see: one client at full speed begins requests and takes them back, or asks for another role, and takes the whole core from all others.

Cause: the rest of a refused request was skipped without a bound, and neither the refusal nor an abort of an incomplete request cost its sender anything; each is parsed and answered.

Why the fix works: each such request counts as one stray record, and so does what a refused request sends beyond the most that a request may hold. The allowance is refilled by 500 a second (200 before), so that a web server whose clients leave in the middle of their uploads is not paused; beyond it, reading is paused and nothing is dropped.

--- a/hoistplank/protocol/fastcgi/reader.py
+++ b/hoistplank/protocol/fastcgi/reader.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from dataclasses import dataclass
 
 from hoistplank.protocol.errors import FastCgiError
 from hoistplank.protocol.fastcgi.events import (
@@ -37,6 +38,8 @@
 
 # A long stray record counts as one more for each of these, as its content is read as well.
 STRAY_CONTENT_BYTES = 256
+# The records of a rejected request, with their headers, that are skipped without counting as stray.
+MAX_SKIPPED_BYTES = MAX_PARAMS_BYTES + MAX_BODY_BYTES
 _HEADER_BYTES = HEADER.size
 _BEGIN_BODY_MIN_BYTES = 3  # of BEGIN_REQUEST: the role and the flags, without the reserved bytes
 # Response to GET_VALUES (section 4.1), by which the web server sets its own limits.
@@ -47,6 +50,14 @@
 ShedCheck = Callable[[int, bytes], bytes | None]
 
 
+@dataclass(slots=True)
+class SkippedRequest:
+    """A request that was answered before it was complete, whose remaining records are skipped."""
+
+    keep_connection: bool
+    skipped_bytes: int = 0
+
+
 class RequestReader:
     """Decodes the requests on one connection.
 
@@ -62,12 +73,12 @@
         self.shed_count = 0  # total number of shed requests
         self.held_bytes = 0  # content of the requests that are incomplete or not answered yet
         self.close_requested = False  # a shed request without KEEP_CONN is complete: close the connection
-        # KEEP_CONN flag of requests that were shed or rejected before they were complete, until their STDIN
-        # ends; the latest `max_requests` of them.
-        self.shed_requests: dict[int, bool] = {}
+        # Requests that were shed or rejected before they were complete, until their STDIN ends; the latest
+        # `max_requests` of them.
+        self.shed_requests: dict[int, SkippedRequest] = {}
         self.records_read = 0  # in total; a request that is read in one step counts as one
-        # Records so far that belong to no request, which only a client that breaks the protocol sends in
-        # large numbers. The owner limits their rate.
+        # Records so far that belong to no request, and requests that were refused or aborted before they were
+        # complete. Only a client that breaks the protocol sends many; the owner limits their rate.
         self.stray_records = 0
         # Answered requests whose ABORT_REQUEST may have crossed the answer. A client has no more than
         # `max_requests` open at once by its own count, so no more can be on their way.
@@ -182,7 +193,7 @@
         if len(self.shed_requests) >= self.max_requests:
             # A client need not send the rest of a request that was answered: the oldest may never end.
             del self.shed_requests[next(iter(self.shed_requests))]
-        self.shed_requests[number] = keep_connection
+        self.shed_requests[number] = SkippedRequest(keep_connection)
 
     def _count_stray_record(self, content: bytearray) -> None:
         self.stray_records += 1 + len(content) // STRAY_CONTENT_BYTES
@@ -201,26 +212,32 @@
         if kind == ABORT_REQUEST:
             was_complete = number in self.complete
             self._drop(number)
+            self.stray_records += not was_complete
             return RequestAborted(number, was_complete)
         return self._read_stream(request, kind, content)
 
     def _skip_inactive_record(self, kind: int, number: int, content: bytearray) -> None:
         """Ignores a record of a request that is not active, as the specification demands. The last record of
         a request that was shed ends that request."""
-        if number in self.shed_requests:
-            if kind == ABORT_REQUEST:
-                self._end_shed_request(number)
-            elif kind == STDIN and not content:
-                self._end_shed_request(number)
-                self._expect_late_abort()
+        skipped = self.shed_requests.get(number)
+        if skipped is not None:
+            self._skip_record(number, skipped, kind, content)
         elif kind == ABORT_REQUEST and self._expected_late_aborts:
             self._expected_late_aborts -= 1
         else:
             self._count_stray_record(content)
 
-    def _end_shed_request(self, number: int) -> None:
-        keep_connection = self.shed_requests.pop(number)
-        self.close_requested = self.close_requested or not keep_connection
+    def _skip_record(self, number: int, skipped: SkippedRequest, kind: int, content: bytearray) -> None:
+        is_last = kind == ABORT_REQUEST or (kind == STDIN and not content)
+        if is_last:
+            del self.shed_requests[number]
+            self.close_requested = self.close_requested or not skipped.keep_connection
+            if kind == STDIN:
+                self._expect_late_abort()
+            return
+        skipped.skipped_bytes += _HEADER_BYTES + len(content)
+        if skipped.skipped_bytes > MAX_SKIPPED_BYTES:
+            self._count_stray_record(content)
 
     def _read_stream(self, request: FastCgiRequest, kind: int, content: bytearray) -> Event | None:
         """Reads a PARAMS or STDIN record of a request; counts any other as a stray record."""
@@ -256,19 +273,24 @@
         if request is not None:
             raise FastCgiError(f"request {number} begins while it is open")
         role, keep_connection = content[0] << 8 | content[1], bool(content[2] & KEEP_CONN)
-        rejection: ProtocolReply | None
-        if len(self.requests) >= self.max_requests:
-            rejection = ProtocolReply(encode_end_request(number, 0, OVERLOADED))
-        elif role != RESPONDER:
-            rejection = ProtocolReply(encode_end_request(number, 0, UNKNOWN_ROLE))
-        else:
-            rejection = self._check_shed(number, b"")
+        rejection = self._refuse(number, role) or self._check_shed(number, b"")
         if rejection is not None:
             self._skip_rest(number, keep_connection=keep_connection)
             return rejection
         self.requests[number] = FastCgiRequest(number, keep_connection, began_at_record=self.records_read)
         return None
 
+    def _refuse(self, number: int, role: int) -> ProtocolReply | None:
+        """Returns the response to a request that breaks a limit or has another role, else None."""
+        if len(self.requests) >= self.max_requests:
+            status = OVERLOADED
+        elif role != RESPONDER:
+            status = UNKNOWN_ROLE
+        else:
+            return None
+        self.stray_records += 1
+        return ProtocolReply(encode_end_request(number, 0, status))
+
     def _read_params(self, request: FastCgiRequest, content: bytearray) -> Event | None:
         if content:
             if len(request.params) + len(content) > MAX_PARAMS_BYTES:
--- a/hoistplank/routing/misuse_throttle.py
+++ b/hoistplank/routing/misuse_throttle.py
@@ -9,7 +9,7 @@
 INVALID_REQUEST_COST = 10.0  # in stray records: it is parsed, logged and answered
 VALID_REQUEST_CREDIT = INVALID_REQUEST_COST  # one invalid request beside each valid one is no misuse
 BURST = 32 * INVALID_REQUEST_COST  # as many invalid requests as a connection may have open
-REFILL_PER_S = 200.0
+REFILL_PER_S = 500.0
 # Well below the deadlines, as valid requests may stand behind what is not read yet.
 MAX_PAUSE_S = 0.5
 
--- a/tests/test_client_misuse.py
+++ b/tests/test_client_misuse.py
@@ -126,6 +126,10 @@
     run_scene(scene())
 
 
+def request_of_another_role(number: int) -> bytes:
+    return fastcgi.encode_record(fastcgi.BEGIN_REQUEST, number, b"\0\x02\x01\0\0\0\0\0")
+
+
 @pytest.mark.parametrize("records", ["shed requests", "late aborts"])
 def test_connection_stays_while_its_records_are_read_and_none_is_a_request_to_serve(
     tmp_path: Path, records: str
@@ -202,6 +206,7 @@
 
 @pytest.mark.parametrize("seed", range(8))
 def test_no_record_of_a_correct_client_is_stray_whatever_crosses(seed: int) -> None:
+    """Guards against right connections ended, or read late, for aborts that crossed their answers."""
     random = Random(seed)
     client, reader = CorrectClient(random, random.randrange(1, 30)), fastcgi.RequestReader(MAX_REQUESTS)
     for now in range(3_000):
@@ -210,7 +215,10 @@
 
 
 def test_records_behind_a_rejection_are_not_stray() -> None:
-    """Requests over the limit, and those with another role, are answered before the rest of them is read."""
+    """Guards against a connection ended by the rest of requests that were refused before they were complete.
+
+    Each refused request counts as one stray record, so that a flood of them is bounded.
+    """
     reader, body = fastcgi.RequestReader(1), fastcgi.encode_record(fastcgi.STDIN, 2, b"x")
     open_request = request_bytes(1)[:-8]
     rejected = request_bytes(2)[:-8] + body * 3 + request_bytes(2)[-8:]
@@ -219,10 +227,32 @@
     while start < len(data):
         start, events = reader.read(data, start, len(data))
         count += len(events)
-    assert count == 500 and reader.stray_records == 0 and not reader.shed_requests
+    assert count == 500 and reader.stray_records == 500 and not reader.shed_requests
+
+
+@pytest.mark.parametrize("content_bytes", [0, 1, 60_000])
+def test_rest_of_a_rejected_request_is_stray_beyond_what_a_request_may_hold(content_bytes: int) -> None:
+    """Guards against a rejected request whose endless rest costs its sender nothing."""
+    reader = fastcgi.RequestReader(MAX_REQUESTS)
+    record = fastcgi.encode_record(fastcgi.PARAMS, 5, bytes(content_bytes))
+    data = bytearray(request_of_another_role(5) + record * (1_000_000 // len(record)))
+    start = 0
+    while len(data) - start >= len(record):
+        start, _ = reader.read(data, start, len(data))
+    assert reader.stray_records > 2_000
+
+
+def test_aborts_of_incomplete_requests_count_as_stray_records() -> None:
+    """Guards against requests that are begun and aborted at full speed at no cost to their sender."""
+    reader = fastcgi.RequestReader(MAX_REQUESTS)
+    for number in range(1, 500):
+        data = bytearray(request_bytes(number)[:16] + fastcgi.encode_record(fastcgi.ABORT_REQUEST, number))
+        assert reader.read(data, 0, len(data))[1] == [fastcgi.RequestAborted(number, False)]
+    assert reader.stray_records == 499
 
 
 def test_requests_whose_rest_never_comes_are_forgotten() -> None:
+    """Guards against memory that grows with each request that is shed and never completed."""
     reader = fastcgi.RequestReader(MAX_REQUESTS, lambda number, script: b"no")
     for number in range(1, 5_000):
         data = bytearray(request_bytes(number)[:16])
@@ -232,6 +262,7 @@
 
 @pytest.mark.parametrize("reads_per_s", [1, 40, 1_000])
 def test_throttle_bounds_the_rate_of_misuse_and_leaves_a_little_of_it_alone(reads_per_s: int) -> None:
+    """Guards against misuse without a bound on its rate, and against a count that never falls."""
     throttle, now, strays = MisuseThrottle(0.0), 0.0, 0
     for _ in range(200):
         strays += 100
@@ -256,12 +287,24 @@
         LATE_ABORT,
         fastcgi.encode_record(fastcgi.GET_VALUES, 0),
         fastcgi.encode_record(fastcgi.STDIN, 9, bytes(60_000)),
+        fastcgi.encode_record(fastcgi.GET_VALUES, 0, bytes(60_000)),
         request_bytes(1, fields=INVALID_REQUEST),
+        request_of_another_role(1),
+        request_bytes(1)[:16] + LATE_ABORT,
+    ],
+    ids=[
+        "records of no request",
+        "aborts of no request",
+        "management",
+        "long records",
+        "long management",
+        "invalid requests",
+        "requests of another role",
+        "begun and aborted",
     ],
-    ids=["records of no request", "aborts of no request", "management", "long records", "invalid requests"],
 )
 def test_flood_of_misuse_is_bounded_and_others_are_served(tmp_path: Path, unit: bytes) -> None:
-    """Memory, processor time and log lines that one client at full speed costs."""
+    """Guards against misuse that takes memory, processor time or log lines without a bound."""
 
     async def scene() -> None:
         async with SteadyDispatcher(tmp_path, hosts()) as dispatcher:
@@ -284,6 +327,7 @@
             assert time.process_time() - cpu_before < 0.5 * FLOOD_S
             unusable = [line for line in logs if "invalid" in line["event"] or "unusable" in line["event"]]
             assert 1 <= len(unusable) <= 2 * (FLOOD_S + 2)
+            assert len(session.reader.shed_requests) <= MAX_REQUESTS and session.reader.held_bytes <= 65_536
             for task in (flood, answers):
                 task.cancel()
             flooder.writer.transport.abort()
