One question of an attempt at its first byte; a test holds its longest wait for a connection

Attempt asked the router task twice, for the list and for purges; `permits` asks both. Request.arrival makes the event that RouterTask built field by field. What is decided is as before.

test_attempt_waits_for_its_connection_no_longer_than_one_may_take guards: with a purge's grace of 3 s and a connect timeout of 0.4 s an attempt that waited 0.7 s is not sent. Tests of unseen purges say which failure they guard against.

--- a/hoistplank/routing/attempts.py
+++ b/hoistplank/routing/attempts.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass, field
 from typing import NamedTuple, Protocol
 
+from hoistplank.decision import events as decision_events
 from hoistplank.decision.actions import SendAttempt
 from hoistplank.protocol.cachewire import Answer
 from hoistplank.routing.attempt_ending import ENDING_OF_FAILURE, ENDING_OF_STATUS, AttemptEnding
@@ -55,6 +56,19 @@
     is_closed: bool = False  # answered, or its client left
     attempts: dict[int, Attempt] = field(default_factory=dict)  # attempts in flight, by number
 
+    def arrival(self, deadline_us: int) -> decision_events.RequestArrived:
+        """Returns the event that tells the Router of the request, with its deadline or an earlier one."""
+        return decision_events.RequestArrived(
+            request_id=self.id,
+            class_name=self.class_name,
+            object_key=self.object_key,
+            part=self.part,
+            purge_group=self.purge_group,
+            size_kb=0.0,
+            deadline_us=deadline_us,
+            is_repeat=self.is_repeat,
+        )
+
 
 class AttemptEnded(NamedTuple):
     """An attempt ended, with the cache host's answer if there was one."""
@@ -75,11 +89,9 @@
     def submit(self, event: AttemptEnded) -> None:
         """Takes the event that the attempt ended."""
 
-    def permits_attempts(self, now: int, /) -> bool:
-        """Returns whether the current endpoint list permits attempts at all."""
-
-    def permits_max_age(self, now: int, attempt: Attempt, /) -> bool:
-        """Returns whether an attempt may still accept copies of the age that was decided."""
+    def permits(self, now: int, attempt: Attempt, /) -> bool:
+        """Returns whether the endpoint list still permits an attempt, with copies of the age that was
+        decided."""
 
 
 class Attempt:
@@ -121,20 +133,15 @@
         # sent events meanwhile.
         if self.owner.standstills.detect() != self._standstills:
             return False
-        if not self.owner.permits_attempts(self.started_us):
-            return False
         if self.is_finished or self.request.is_closed or not self.owner.endpoints.is_up(self.host):
             return False
         if self.source and not self.owner.endpoints.is_up(self.source):
             return False
-        return self._is_in_time()
-
-    def _is_in_time(self) -> bool:
         if 0 < self.start_by_us < self.started_us:
             return False
         if self.started_us - self.decided_us > self.owner.max_start_delay_us:
             return False
-        return self.owner.permits_max_age(self.started_us, self)
+        return self.owner.permits(self.started_us, self)
 
     def encode(self) -> bytes:
         """Returns its message, with the time that its client has left when sending starts."""
--- a/hoistplank/routing/router_task.py
+++ b/hoistplank/routing/router_task.py
@@ -189,17 +189,7 @@
         deadline_us = request.deadline_us
         if self.drain_deadline_us:
             deadline_us = min(deadline_us, self.drain_deadline_us)
-        arrived = decision_events.RequestArrived(
-            request_id=request.id,
-            class_name=request.class_name,
-            object_key=request.object_key,
-            part=request.part,
-            purge_group=request.purge_group,
-            size_kb=0.0,
-            deadline_us=deadline_us,
-            is_repeat=request.is_repeat,
-        )
-        self.router.handle(now, arrived)
+        self.router.handle(now, request.arrival(deadline_us))
 
     def _on_client_disconnected(self, now: int, event: ClientDisconnected) -> None:
         request = event.request
@@ -286,14 +276,13 @@
         if self.pool is not None:
             self.pool.drain(host)
 
-    def permits_attempts(self, now: int) -> bool:
-        """Returns whether the endpoint list permits attempts; called at an attempt's first byte."""
-        return self.router.permits_attempts(now)
-
-    def permits_max_age(self, now: int, attempt: Attempt) -> bool:
-        """Returns whether an attempt may still accept copies of the age that was decided; called at its first
-        byte."""
-        return self.router.permits_max_age(now, attempt.decided_us, attempt.id, attempt.max_age_us)
+    def permits(self, now: int, attempt: Attempt) -> bool:
+        """Returns whether the endpoint list still permits an attempt, with copies of the age that was
+        decided; called at its first byte."""
+        router = self.router
+        return router.permits_attempts(now) and router.permits_max_age(
+            now, attempt.decided_us, attempt.id, attempt.max_age_us
+        )
 
     def _on_purge_received(self, now: int, event: PurgeReceived) -> None:
         age_us = max(0, now - event.made_us)
--- a/tests/test_unseen_purges.py
+++ b/tests/test_unseen_purges.py
@@ -27,6 +27,9 @@
 from hoistplank.fakes.deployment import Deployment
 from hoistplank.fakes.fault_proxy import FaultProxy
 from hoistplank.fakes.wire import FastCgiClient, ScriptedCacheHost
+from hoistplank.routing.attempts import Attempt, Request
+from hoistplank.routing.clock import Clock
+from hoistplank.routing.router_task import RouterTask
 from tests.dispatcher_scene import ConnectionGate, SteadyDispatcher, served
 from tests.helpers import SITE, configuration, until
 from tests.scene_runner import run_scene
@@ -123,6 +126,7 @@
 
 
 def test_copies_are_not_bounded_while_the_purges_are_known() -> None:
+    """Guards against fills, and requests rejected for them, where no purge can be missing."""
     confirmation = ListConfirmation(250 * MS, 1 * S)
     assert confirmation.copies_valid_from_us(S) == 0  # no watch is reported
     for now_us, stage in ((S, CONNECTING), (S, AWAITING), (S, CONFIRMED)):
@@ -166,6 +170,7 @@
 
 
 def test_attempts_accept_only_copies_that_no_unseen_purge_invalidated() -> None:
+    """Guards against attempts without a bound on the age while the log refuses, or is asked and silent."""
     lost = [(0, CONNECTING), (0, AWAITING), (0, CONFIRMED), (10 * S, CONNECTING)]
     assert attempt_after(lost, 10 * S + 100 * MS).max_age_us == 0
     # Refused: what the log would have told counts as received 2 s after the break.
@@ -315,6 +320,7 @@
 def test_late_attempt_is_checked_for_purges_after_a_share_of_their_grace(
     purge_grace_s: float, delay_s: float
 ) -> None:
+    """Guards against an attempt decided before a purge that begins after its grace, whatever the grace."""
     rules = replace(SITE.rules, purge_grace_us=int(purge_grace_s * S))
     router = Router(replace(SITE, rules=rules), 1)
     router.handle(S, RequestArrived("r1", "video", "x", 0, 3, 100.0, 10 * S, False))
@@ -325,7 +331,29 @@
     assert router.permits_max_age(decided_us + int(0.2 * purge_grace_s * S), decided_us, "r1", 0)
 
 
+@pytest.mark.parametrize("waited_ms, begins", [(400, True), (700, False)])
+def test_attempt_waits_for_its_connection_no_longer_than_one_may_take(
+    monkeypatch: pytest.MonkeyPatch, waited_ms: int, begins: bool
+) -> None:
+    """Guards against attempts sent later than the connect timeout allows, where a purge's grace is long."""
+
+    async def scene() -> None:
+        rules = replace(SITE.rules, purge_grace_us=3 * S, connect_timeout_us=400 * MS)
+        router_task = RouterTask(replace(SITE, rules=rules), 1, Clock(), 0, ())
+        router_task.endpoints.is_up = lambda host: True  # type: ignore[method-assign]
+        no_response: Any = None
+        request = Request(no_response, "r1", "page", "x", 0, 0, "", "", b"", 0, False, True)
+        action = SendAttempt("r1", 0, "c", "", S, 0, 0, False, 0)
+        decided_us = router_task.clock.now()
+        attempt = Attempt(router_task, request, action, decided_us, lambda waited_us: b"")
+        monkeypatch.setattr(router_task.clock, "now", lambda: decided_us + waited_ms * MS)
+        assert attempt.may_begin() == begins
+
+    run_scene(scene())
+
+
 def test_graces_of_drains_and_purges_are_read_and_the_shorter_bounds_the_backoff(tmp_path: Path) -> None:
+    """Guards against a purge's grace that nothing reads."""
     loaded = configuration(
         tmp_path, **{"settings.rules.stop_sending_within": 2.0, "settings.family_info.purge_grace": 0.3}
     )
