Log how the attempts of a given-up request ended, and by what a rejection is true

Each attempt now has a Transmission, which the message writer keeps up to date (waiting, sending, partly written, written); nothing is decided by it yet. New counts 'rejected_by' (the basis of each rejection, which Reject now has to name) and 'crossed'.

--- a/hoistplank/decision/actions.py
+++ b/hoistplank/decision/actions.py
@@ -40,11 +40,23 @@
     NO_HOST = "no host"  # no listed host could serve the request
 
 
+class RejectionBasis(StrEnum):
+    """Why a rejection, which says that trying again is harmless, is true; the values are written to the
+    log."""
+
+    NOT_ATTEMPTED = "not attempted"
+    NEVER_RAN = "never ran"  # each attempt has ended with a proof of it
+    IDEMPOTENT = "idempotent"
+    DEDUPLICATED = "deduplicated"  # it may have run, and every host drops a repeat
+
+
 class Reject(msgspec.Struct, frozen=True, gc=False):
-    """Answer that nothing was done and that the client may retry after `retry_after_us`."""
+    """Answer that trying again is harmless, by `basis`, and that the client may retry after
+    `retry_after_us`."""
 
     request_id: str
     retry_after_us: int
+    basis: RejectionBasis
     reason: EndReason = EndReason.NO_ATTEMPT_LEFT
 
 
--- a/hoistplank/decision/retries.py
+++ b/hoistplank/decision/retries.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 from math import exp
 
-from hoistplank.decision.actions import EndReason, Fail, Reject
+from hoistplank.decision.actions import EndReason, Fail, Reject, RejectionBasis
 from hoistplank.decision.events import AttemptEnded, CacheStatus, Outcome
 from hoistplank.decision.hosts import AttemptCounts, Host
 from hoistplank.decision.requests import Attempt, Request
@@ -154,12 +154,22 @@
 
     def final_answer(self, request: Request, reason: EndReason) -> Reject | Fail:
         """Returns the answer to a request that is given up: `Reject` only if the client may safely retry."""
-        traffic_class = request.traffic_class
-        harmless = traffic_class.semantics == IDEMPOTENT or request.first_run_us < 0
-        if not harmless:
-            keyed = traffic_class.semantics != NON_IDEMPOTENT
-            harmless = keyed and traffic_class.deduplication_scope == DEDUPLICATED_EVERYWHERE
-        if not harmless:
+        basis = self._rejection_basis(request)
+        if basis is None:
             return Fail(request.id, reason)
         max_delay_us = self.rules.max_retry_after_us * self.rules.may_send_retry_after
-        return Reject(request.id, int(max_delay_us * (0.5 + self.random() / 2)), reason)
+        return Reject(request.id, int(max_delay_us * (0.5 + self.random() / 2)), basis, reason)
+
+    def _rejection_basis(self, request: Request) -> RejectionBasis | None:
+        """Returns why a rejection of the request would be true, or None if it might not be."""
+        traffic_class = request.traffic_class
+        if not request.attempts_made:
+            return RejectionBasis.NOT_ATTEMPTED
+        if request.first_run_us < 0:
+            return RejectionBasis.NEVER_RAN
+        if traffic_class.semantics == IDEMPOTENT:
+            return RejectionBasis.IDEMPOTENT
+        keyed = traffic_class.semantics != NON_IDEMPOTENT
+        if keyed and traffic_class.deduplication_scope == DEDUPLICATED_EVERYWHERE:
+            return RejectionBasis.DEDUPLICATED
+        return None
--- a/hoistplank/lab/baselines.py
+++ b/hoistplank/lab/baselines.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 from random import Random
 
-from hoistplank.decision.actions import FILL_RETENTION, Action, Fail, Reject, SendAttempt
+from hoistplank.decision.actions import FILL_RETENTION, Action, Fail, Reject, RejectionBasis, SendAttempt
 from hoistplank.decision.events import (
     AttemptEnded,
     ClientDisconnected,
@@ -138,7 +138,9 @@
         del self.requests[request_id]
         idempotent = self.classes[request.arrived.class_name].semantics == IDEMPOTENT
         self.actions.append(
-            Reject(request_id, 0) if idempotent or not request.may_have_run else Fail(request_id)
+            Reject(request_id, 0, _rejection_basis(request))
+            if idempotent or not request.may_have_run
+            else Fail(request_id)
         )
 
     def attempt_ended(self, now_us: int, event: AttemptEnded) -> None:
@@ -203,3 +205,7 @@
     "fewest": LeastInFlight,
     "two": TwoChoices,
 }
+
+
+def _rejection_basis(request: PlainRequest) -> RejectionBasis:
+    return RejectionBasis.IDEMPOTENT if request.may_have_run else RejectionBasis.NEVER_RAN
--- a/hoistplank/lab/scale/role_cache_host.py
+++ b/hoistplank/lab/scale/role_cache_host.py
@@ -16,6 +16,7 @@
 from hoistplank.transport.pool import MIN_CONNECTIONS_PER_HOST, Pool, PoolSettings
 from hoistplank.transport.pooled_connection import PooledConnection
 from hoistplank.transport.pooled_request import RequestFailure
+from hoistplank.transport.transmission import Transmission
 
 ROLE = "cache host"
 ACCEPT_PROCESS = "hoistplank.lab.scale.accept_process"
@@ -32,6 +33,7 @@
 
     def __init__(self, number: int) -> None:
         self.id = f"held-{number}"
+        self.transmission = Transmission()
 
     def may_begin(self) -> bool:
         return True
--- a/hoistplank/routing/attempts.py
+++ b/hoistplank/routing/attempts.py
@@ -16,6 +16,7 @@
 from hoistplank.routing.standstill import StandstillDetector
 from hoistplank.transport.pooled_connection import PooledConnection
 from hoistplank.transport.pooled_request import RequestFailure
+from hoistplank.transport.transmission import Transmission, TransmissionState
 
 
 class Response(Protocol):
@@ -55,6 +56,7 @@
     sending_us: float = 0.0  # time to send the answer at the configured rate, once there is one
     is_closed: bool = False  # answered, or its client left
     attempts: dict[int, Attempt] = field(default_factory=dict)  # attempts in flight, by number
+    unsuccessful: list[AttemptRecord] = field(default_factory=list)  # attempts that ended without success
 
     def arrival(self, deadline_us: int) -> decision_events.RequestArrived:
         """Returns the event that tells the Router of the request, with its deadline or an earlier one."""
@@ -70,6 +72,27 @@
         )
 
 
+class AttemptRecord(NamedTuple):
+    """An attempt that has ended, for the log: `transmission` is how much of it had been written by then,
+    `crossed` the ending that it reported itself, if that crossed with a timeout or a cancellation."""
+
+    number: int
+    host: str
+    source: str
+    ending: AttemptEnding
+    transmission: TransmissionState
+    age_us: int  # since the decision to make it
+    crossed: AttemptEnding | None
+
+    def __str__(self) -> str:
+        source = f" from {self.source}" if self.source else ""
+        crossed = f", crossed '{self.crossed}'" if self.crossed is not None else ""
+        return (
+            f"{self.number} at {self.host}{source}: {self.ending}, {self.transmission},"
+            f" {self.age_us // 1000} ms{crossed}"
+        )
+
+
 class AttemptEnded(NamedTuple):
     """An attempt ended, with the cache host's answer if there was one."""
 
@@ -120,6 +143,8 @@
         self.connection: PooledConnection | None = None
         self.timer: asyncio.TimerHandle | None = None
         self.is_finished = False
+        self.transmission = Transmission()
+        self.reported: AttemptEnding | None = None  # its end, once that is in the router task's queue
         self.started_us, self.ended_us = now, 0
 
     def may_begin(self) -> bool:
@@ -163,6 +188,15 @@
             self.timer = None  # the timer refers back to the attempt: breaks the reference cycle
         self.request.attempts.pop(self.number, None)
 
+    def record(self, now: int, ending: AttemptEnding) -> AttemptRecord:
+        """Returns what the log says of the attempt, which has ended with `ending`."""
+        crossed = self.reported if self.reported is not ending else None
+        age_us = (self.ended_us or now) - self.decided_us
+        return AttemptRecord(
+            self.number, self.host, self.source, ending, self.transmission.state, age_us, crossed
+        )
+
     def _end(self, ending: AttemptEnding, answer: Answer | None) -> None:
+        self.reported = ending
         self.ended_us = self.owner.clock.now()
         self.owner.submit(AttemptEnded(self, ending, answer))
--- a/hoistplank/routing/request_counts.py
+++ b/hoistplank/routing/request_counts.py
@@ -5,7 +5,7 @@
 from collections import Counter
 from dataclasses import dataclass, field
 
-from hoistplank.decision.actions import EndReason
+from hoistplank.decision.actions import EndReason, RejectionBasis
 from hoistplank.routing.attempt_ending import AttemptEnding
 
 
@@ -21,6 +21,9 @@
     shed: int = 0
     attempts_by_ending: Counter[AttemptEnding] = field(default_factory=Counter)
     unsuccessful_by_reason: Counter[EndReason] = field(default_factory=Counter)
+    # Ends of attempts that were already in the queue when a timeout of the same attempt was handled.
+    crossed_by_ending: Counter[AttemptEnding] = field(default_factory=Counter)
+    rejected_by_basis: Counter[RejectionBasis] = field(default_factory=Counter)
 
     def log_fields(self) -> dict[str, int]:
         """Returns the counts under the field names of the log line `phase`."""
@@ -34,8 +37,10 @@
         }
 
     def breakdown(self) -> dict[str, dict[str, int]]:
-        """Returns attempts by ending and unsuccessful requests by reason, for the log line `counts`."""
+        """Returns the counts by ending, reason and basis, for the log line `counts`."""
         return {
             "endings": {ending.value: count for ending, count in self.attempts_by_ending.items()},
             "given_up": {reason.value: count for reason, count in self.unsuccessful_by_reason.items()},
+            "crossed": {ending.value: count for ending, count in self.crossed_by_ending.items()},
+            "rejected_by": {basis.value: count for basis, count in self.rejected_by_basis.items()},
         }
--- a/hoistplank/routing/router_task.py
+++ b/hoistplank/routing/router_task.py
@@ -38,6 +38,7 @@
     TimerFired,
 )
 from hoistplank.routing.request_counts import RequestCounts
+from hoistplank.routing.request_log import RequestLog
 from hoistplank.routing.request_table import RequestTable
 from hoistplank.routing.signal_feed import SignalFeed
 from hoistplank.routing.standstill import StandstillDetector
@@ -74,6 +75,7 @@
         self.endpoints = EndpointRegistry(self._retire_connections, clock.to_local_start)
         self.admission = ClassAdmission(settings, max_open or UNLIMITED_OPEN_REQUESTS, clock.now())
         self.counts = RequestCounts()
+        self.request_log = RequestLog(settings, clock)
         self.pool: Pool | None = None
         self.queue = EventQueue({row.name: row.priority_weight for row in settings.traffic_classes})
         self.lag_us = 0  # lateness of the event loop, decaying
@@ -214,6 +216,8 @@
     def _on_attempt_timed_out(self, now: int, event: AttemptTimedOut) -> None:
         attempt = event.attempt
         if not attempt.is_finished:
+            if attempt.reported is not None:
+                self.counts.crossed_by_ending[attempt.reported] += 1
             was_sent = _cancel(attempt)
             ending = AttemptEnding.TIMED_OUT if was_sent else AttemptEnding.CONNECT_TIMED_OUT
             self._on_attempt_ended(now, AttemptEnded(attempt, ending, None))
@@ -228,6 +232,8 @@
             self.attempt_observer(attempt, ending)
         request = attempt.request
         outcome = OUTCOMES[ending]
+        if outcome != Outcome.SUCCEEDED:
+            request.unsuccessful.append(attempt.record(now, ending))
         took_us = (attempt.ended_us or now) - attempt.started_us
         # The time that an answer was unread because the loop was late must not count against its host.
         took_us -= min(self.lag_us, took_us // 2)
@@ -323,7 +329,9 @@
         self._close(request)
         self.counts.rejected += 1
         self.counts.unsuccessful_by_reason[action.reason] += 1
+        self.counts.rejected_by_basis[action.basis] += 1
         request.response.reject(action.retry_after_us)
+        self.request_log.given_up(request, action)
 
     def _fail(self, _now: int, action: Fail) -> None:
         request = self.requests.by_id[action.request_id]
@@ -331,6 +339,7 @@
         self.counts.failed += 1
         self.counts.unsuccessful_by_reason[action.reason] += 1
         request.response.fail()
+        self.request_log.given_up(request, action)
 
     def _cancel_attempt(self, _now: int, action: CancelAttempt) -> None:
         request = self.requests.by_id.get(action.request_id)
--- a/hoistplank/transport/message_writer.py
+++ b/hoistplank/transport/message_writer.py
@@ -30,6 +30,7 @@
     on_written: Callable[[], None] | None  # called once the kernel has taken the last byte
     on_deferred: Callable[[], None] | None  # the kernel took no byte of it; `may_begin` will be called again
     encode: Callable[[], bytes] | None = None  # called after `may_begin`; returns the bytes to write
+    on_partly_written: Callable[[], None] | None = None  # the kernel took the first bytes, and not the last
 
     def with_encoded_data(self) -> OutgoingMessage:
         """Returns the message with the bytes that are to be written now."""
@@ -87,11 +88,14 @@
         on_written: Callable[[], None] | None = None,
         on_deferred: Callable[[], None] | None = None,
         encode: Callable[[], bytes] | None = None,
+        on_partly_written: Callable[[], None] | None = None,
     ) -> None:
         """Queues a message behind those sent before it; drops it if the connection is not open."""
         if self.state is not ConnectionState.OPEN:
             return
-        self._unsent.append(OutgoingMessage(data, may_begin, on_written, on_deferred, encode))
+        self._unsent.append(
+            OutgoingMessage(data, may_begin, on_written, on_deferred, encode, on_partly_written)
+        )
         self.unsent_bytes += len(data)
         if not (self._is_flush_scheduled or self._is_awaiting_writable):
             self._is_flush_scheduled = True
@@ -134,6 +138,7 @@
             except (BlockingIOError, InterruptedError):
                 sent = 0
             except OSError as error:
+                _report_deferred(batch)  # a call that fails has taken nothing
                 self._end(error)
                 return
             if sent == len(data):
@@ -162,10 +167,10 @@
             self._write_stalled_at = self.loop.time()
         begun = rest[: int(whole_bytes < sent)] if is_plain else rest
         deferred = rest[len(begun) :]
-        for message in deferred:
-            if message.on_deferred is not None:
-                message.on_deferred()
+        _report_deferred(deferred)
         self._unsent.extendleft(reversed(deferred))
+        if is_plain and begun and begun[0].on_partly_written is not None:
+            begun[0].on_partly_written()
         self._report_written(whole)
         if self.state is ConnectionState.CLOSED:
             return
@@ -202,3 +207,10 @@
                 message.on_written()
         if not self._is_reading:
             self._update_reading()
+
+
+def _report_deferred(messages: list[OutgoingMessage]) -> None:
+    """Reports that the kernel has taken no byte of these messages."""
+    for message in messages:
+        if message.on_deferred is not None:
+            message.on_deferred()
--- a/hoistplank/transport/pooled_connection.py
+++ b/hoistplank/transport/pooled_connection.py
@@ -68,7 +68,7 @@
             self._write(self.connection, request)
 
     def _write(self, connection: Connection, request: PooledRequest) -> None:
-        request_id = request.id
+        request_id, transmission = request.id, request.transmission
 
         def may_begin() -> bool:
             if self.in_flight.get(request_id) is not request:
@@ -78,17 +78,20 @@
                 request.failed(RequestFailure.NOT_STARTED)
                 return False
             self._started.add(request_id)
+            transmission.begin()
             return True
 
         def on_written() -> None:
+            transmission.taken()
             if self.in_flight.get(request_id) is request:
                 self._written.add(request_id)
 
         def on_deferred() -> None:
+            transmission.not_taken()
             if self.in_flight.get(request_id) is request:
                 self._started.discard(request_id)
 
-        connection.send(b"", may_begin, on_written, on_deferred, request.encode)
+        connection.send(b"", may_begin, on_written, on_deferred, request.encode, transmission.partly_taken)
 
     def finish(self, request_id: str) -> PooledRequest | None:
         """Removes a request that has ended, with or without an answer, and returns it; a draining connection
--- a/hoistplank/transport/pooled_request.py
+++ b/hoistplank/transport/pooled_request.py
@@ -5,6 +5,8 @@
 import enum
 from typing import Protocol
 
+from hoistplank.transport.transmission import Transmission
+
 
 class RequestFailure(enum.StrEnum):
     """The reason why a request ended without an answer. All but the last two prove that it did not run."""
@@ -23,6 +25,7 @@
     """A request to be sent by the pool; `failed` is called once if it ends without an answer."""
 
     id: str
+    transmission: Transmission  # kept up to date by the connection that writes it
 
     def may_begin(self) -> bool:
         """Called just before its first byte is written; on False it is not sent and fails as NOT_STARTED."""
