--- /dev/null
+++ b/tests/test_refusals.py
@@ -0,0 +1,124 @@
+"""Refusals of requests that may have run: no lack of knowledge may count as a proof that nothing ran."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from hoistplank.fakes.failing_cache_host import AttemptFault, end_attempt
+from hoistplank.routing.attempts import AttemptEnded
+from hoistplank.routing.events import AttemptTimedOut, Event
+from hoistplank.routing.router_task import RouterTask
+from tests.dispatcher_scene import KEY, SteadyDispatcher
+from tests.helpers import until
+from tests.refusal_rig import DEADLINE_MS, play_requests, traffic_class
+from tests.scene_runner import run_scene
+
+
+class HoldingHost:
+    """A cache host that takes attempts and ends them when it is told to."""
+
+    def __init__(self) -> None:
+        self.taken: list[str] = []
+        self._writers: list[asyncio.StreamWriter] = []
+
+    async def serve_connection(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        while line := (await reader.readline()).decode().split():
+            if line[0] == "GET":
+                await reader.readexactly(int(line[3]) + 2)
+                self.taken.append(line[1])
+                self._writers.append(writer)
+
+    def end_all(self, fault: AttemptFault) -> None:
+        for request_id, writer in zip(self.taken, self._writers, strict=True):
+            end_attempt(fault, request_id, writer)
+
+
+class HeldTurns:
+    """Holds the router task's turns from the first queued event of a type until `release`."""
+
+    def __init__(self, router_task: RouterTask, first: type, monkeypatch: pytest.MonkeyPatch) -> None:
+        self.router_task, self.first = router_task, first
+        self.is_holding = False
+        self.events: list[Event] = []  # submitted since then
+        self._turn, self._submit = router_task.turn, router_task.submit
+        monkeypatch.setattr(router_task, "turn", self._turn_if_released)
+        monkeypatch.setattr(router_task, "submit", self._record)
+
+    def has_event(self, event_type: type) -> Callable[[], bool]:
+        return lambda: any(isinstance(event, event_type) for event in self.events)
+
+    def release(self) -> None:
+        self.is_holding, self.first = False, type(None)
+        self.router_task._wake.set()
+
+    def _turn_if_released(self) -> None:
+        if not self.is_holding:
+            self._turn()
+
+    def _record(self, event: Event) -> None:
+        if isinstance(event, self.first):
+            self.is_holding = True
+        if self.is_holding:
+            self.events.append(event)
+        self._submit(event)
+
+
+def settings_of(semantics: str, **changes: Any) -> dict[str, Any]:
+    classes = [traffic_class(semantics) | changes]
+    return {"settings.classes": classes, "settings.family_info.uncached": [True]}
+
+
+CROSSING_ANSWERS = [
+    ("at_most_once", AttemptFault.RESET, 502),
+    ("at_most_once", AttemptFault.ERROR, 502),
+    ("at_most_once", AttemptFault.HALF_ANSWER, 502),
+    ("at_most_once", AttemptFault.ANSWER, 200),
+    ("idempotent", AttemptFault.ANSWER, 200),
+]
+
+
+@pytest.mark.parametrize("semantics, fault, expected_status", CROSSING_ANSWERS)
+def test_end_of_an_attempt_that_crosses_its_timeout_counts(
+    tmp_path: Path,
+    semantics: str,
+    fault: AttemptFault,
+    expected_status: int,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Issue 55: the timeout is queued first, then the attempt's own end, and one turn handles both."""
+
+    async def scene() -> None:
+        host: Any = HoldingHost()
+        async with SteadyDispatcher(tmp_path, {"o": host}, **settings_of(semantics)) as dispatcher:
+            turns = HeldTurns(dispatcher.service.router_task, AttemptTimedOut, monkeypatch)
+            fields = KEY | {"HTTP_X_DEADLINE_MS": str(DEADLINE_MS)}
+            dispatcher.client.send(1, "order", fields, b"x" * 100)
+            await until(turns.has_event(AttemptTimedOut))
+            host.end_all(fault)
+            await until(turns.has_event(AttemptEnded))
+            turns.release()
+            _, status, _, _ = await asyncio.wait_for(dispatcher.client.read_answer(), 5)
+            assert (len(host.taken), status) == (1, expected_status)
+
+    run_scene(scene())
+
+
+@pytest.mark.parametrize("fault", [AttemptFault.RESET, AttemptFault.ERROR])
+def test_hosts_that_end_attempts_near_their_budget_get_no_request_refused(
+    tmp_path: Path, fault: AttemptFault
+) -> None:
+    """Issue 55 on real processes: a host that had the request whole ends it about when its time is over."""
+
+    async def scene() -> None:
+        played = await play_requests(
+            tmp_path, traffic_class("at_most_once"), (fault,), (-0.003, 0.001), count=200, seed=55
+        )
+        assert len(played.taken) > 150, played.statuses()
+        assert not played.wrongly_refused()
+
+    run_scene(scene(), limit_s=60)
