An attempt's own end counts when its time-out is handled first in the same turn

Cause: AttemptTimedOut and AttemptEnded both wait in the router task's queue for one turn. The time-out was handled first and asked the connection whether the request had been begun; the connection had forgotten it with its end, and its 'no' was taken for a proof: CONNECT_TIMED_OUT, never ran. The true end, next in the queue, was thrown away.

Why it works: the attempt itself remembers that its end was reported; a time-out or a cancellation that comes later leaves it to that end, which is in the queue by construction.

--- a/hoistplank/routing/router_task.py
+++ b/hoistplank/routing/router_task.py
@@ -215,12 +215,15 @@
 
     def _on_attempt_timed_out(self, now: int, event: AttemptTimedOut) -> None:
         attempt = event.attempt
-        if not attempt.is_finished:
-            if attempt.reported is not None:
-                self.counts.crossed_by_ending[attempt.reported] += 1
-            was_sent = _cancel(attempt)
-            ending = AttemptEnding.TIMED_OUT if was_sent else AttemptEnding.CONNECT_TIMED_OUT
-            self._on_attempt_ended(now, AttemptEnded(attempt, ending, None))
+        if attempt.is_finished:
+            return
+        if attempt.reported is not None:
+            # Its own end stands in the queue behind this event. The connection knows nothing of it any more.
+            self.counts.crossed_by_ending[attempt.reported] += 1
+            return
+        was_sent = _cancel(attempt)
+        ending = AttemptEnding.TIMED_OUT if was_sent else AttemptEnding.CONNECT_TIMED_OUT
+        self._on_attempt_ended(now, AttemptEnded(attempt, ending, None))
 
     def _on_attempt_ended(self, now: int, event: AttemptEnded) -> None:
         attempt, ending, answer = event
@@ -344,7 +347,7 @@
     def _cancel_attempt(self, _now: int, action: CancelAttempt) -> None:
         request = self.requests.by_id.get(action.request_id)
         attempt = request.attempts.get(action.attempt) if request else None
-        if attempt is not None and not attempt.is_finished:
+        if attempt is not None and not attempt.is_finished and attempt.reported is None:
             ending = AttemptEnding.CANCELLED if _cancel(attempt) else AttemptEnding.NOT_STARTED
             self.submit(AttemptEnded(attempt, ending, None))
 
--- a/tests/test_refusals.py
+++ b/tests/test_refusals.py
@@ -78,6 +78,7 @@
     ("at_most_once", AttemptFault.ERROR, 502),
     ("at_most_once", AttemptFault.HALF_ANSWER, 502),
     ("at_most_once", AttemptFault.ANSWER, 200),
+    ("idempotent", AttemptFault.RESET, 503),
     ("idempotent", AttemptFault.ANSWER, 200),
 ]
 
