A keyed request that may have run is refused only while its client's repeat is still dropped

What callers saw: 503 for a keyed request of scope 'all' sent 0.05 to 0.25 s after its window, though a host had it whole; a client that believes it repeats a request that no host recognises any more.

Cause: RetryPolicy.final_answer read the scope and not the window.

Now a refusal needs the repeat to begin within the window: the wait that the refusal names, 0.1 s for the way, and the 50 ms of margin.

--- a/hoistplank/decision/retries.py
+++ b/hoistplank/decision/retries.py
@@ -23,6 +23,8 @@
 
 # A repeat must begin this long before the end of the deduplication window.
 DEDUPLICATION_MARGIN_US = 50_000
+# From the end of a rejected client's wait to the start of the attempt for its repeat.
+CLIENT_REPEAT_US = 100_000
 
 # The outcomes that are a failure of the host itself; others may occur by chance and count from the second
 # attempt on.
@@ -82,7 +84,7 @@
         traffic_class, first_host = request.traffic_class, request.first_run_host
         if traffic_class.semantics == NON_IDEMPOTENT:
             return False
-        if now_us + DEDUPLICATION_MARGIN_US > request.first_run_us + traffic_class.deduplication_window_us:
+        if now_us > self._window_end_us(request):
             return False
         if traffic_class.deduplication_scope == DEDUPLICATED_EVERYWHERE:
             return True
@@ -92,12 +94,17 @@
             return first_host.zone == host.zone
         return first_host.cell == host.cell
 
+    def _window_end_us(self, request: Request) -> int:
+        """Returns the latest time at which a repeat may begin and is still dropped."""
+        window_us = request.traffic_class.deduplication_window_us
+        return request.first_run_us + window_us - DEDUPLICATION_MARGIN_US
+
     def start_by_us(self, request: Request) -> int:
         """Returns the latest start of an attempt, connection setup included; 0 for no bound."""
         traffic_class = request.traffic_class
         if request.first_run_us < 0 or traffic_class.semantics == IDEMPOTENT:
             return 0
-        return request.first_run_us + traffic_class.deduplication_window_us - DEDUPLICATION_MARGIN_US
+        return self._window_end_us(request)
 
     def fits_budget(self, now_us: int, request: Request) -> bool:
         """Returns True if a retry is within the budget of its class and of the host that failed last.
@@ -152,16 +159,18 @@
         doublings = min(request.attempts_made, MAX_BACKOFF_DOUBLINGS)
         request.not_before_us = now_us + int(BACKOFF_US * 2**doublings * (0.5 + self.random()))
 
-    def final_answer(self, request: Request, reason: EndReason) -> Reject | Fail:
+    def final_answer(self, now_us: int, request: Request, reason: EndReason) -> Reject | Fail:
         """Returns the answer to a request that is given up: `Reject` only if the client may safely retry."""
-        basis = self._rejection_basis(request)
+        max_delay_us = self.rules.max_retry_after_us * self.rules.may_send_retry_after
+        retry_after_us = int(max_delay_us * (0.5 + self.random() / 2))
+        basis = self._rejection_basis(request, now_us + retry_after_us + CLIENT_REPEAT_US)
         if basis is None:
             return Fail(request.id, reason)
-        max_delay_us = self.rules.max_retry_after_us * self.rules.may_send_retry_after
-        return Reject(request.id, int(max_delay_us * (0.5 + self.random() / 2)), basis, reason)
+        return Reject(request.id, retry_after_us, basis, reason)
 
-    def _rejection_basis(self, request: Request) -> RejectionBasis | None:
-        """Returns why a rejection of the request would be true, or None if it might not be."""
+    def _rejection_basis(self, request: Request, repeated_us: int) -> RejectionBasis | None:
+        """Returns why a rejection of the request would be true, or None if it might not be. `repeated_us`:
+        the time at which the client's repeat begins."""
         traffic_class = request.traffic_class
         if not request.attempts_made:
             return RejectionBasis.NOT_ATTEMPTED
@@ -169,7 +178,10 @@
             return RejectionBasis.NEVER_RAN
         if traffic_class.semantics == IDEMPOTENT:
             return RejectionBasis.IDEMPOTENT
-        keyed = traffic_class.semantics != NON_IDEMPOTENT
-        if keyed and traffic_class.deduplication_scope == DEDUPLICATED_EVERYWHERE:
+        if traffic_class.semantics == NON_IDEMPOTENT:
+            return None
+        # The client's repeat may go to any host.
+        is_dropped = traffic_class.deduplication_scope == DEDUPLICATED_EVERYWHERE
+        if is_dropped and repeated_us <= self._window_end_us(request):
             return RejectionBasis.DEDUPLICATED
         return None
--- a/hoistplank/decision/router.py
+++ b/hoistplank/decision/router.py
@@ -252,7 +252,7 @@
             self._send(now_us, request, placed)
         elif placed is GIVE_UP:
             reason = self.placement.end_reason(now_us, request)
-            self.actions.append(self.parts.retries.final_answer(request, reason))
+            self.actions.append(self.parts.retries.final_answer(now_us, request, reason))
             self._close(request)
 
     def _set_timer(self, now_us: int) -> None:
--- a/tests/test_refusals.py
+++ b/tests/test_refusals.py
@@ -123,3 +123,16 @@
         assert not played.wrongly_refused()
 
     run_scene(scene(), limit_s=60)
+
+
+@pytest.mark.parametrize("fault", [AttemptFault.SILENCE, AttemptFault.RESET])
+def test_keyed_requests_are_not_refused_after_their_window(tmp_path: Path, fault: AttemptFault) -> None:
+    """Issue 55: a window of 0.15 s is over when an attempt ends at the deadline of 0.4 s, or just before."""
+
+    async def scene() -> None:
+        order = traffic_class("deduplicated", window_s=0.15)
+        played = await play_requests(tmp_path, order, (fault,), (-0.1, -0.05), count=48, seed=55)
+        assert len(played.taken) > 40 and played.statuses()[502] > 40
+        assert not played.wrongly_refused()
+
+    run_scene(scene(), limit_s=60)
