'It never ran' takes a proof: the transmission of the request, which is void

PooledConnection kept two sets of ids that were emptied with each end, 'cancel' returned a bool, and any caller could report an ending that counts as 'never ran'.

Undelivered, the proof, can only be made of a transmission that is void: withdrawn before its first byte, or not whole at the end of its connection. Whoever reports 'refused', 'not up', 'unwritten' or 'withheld' (time-out, cancellation, lost connection, a full pool) has to hand it over; AttemptEnd raises for such an ending without one, or a host's answer. A request that was handed to the system and of which nothing more is known counts as one that may have run. Requests are told apart by identity, not by id; the first end of an attempt counts.

--- a/hoistplank/lab/scale/role_cache_host.py
+++ b/hoistplank/lab/scale/role_cache_host.py
@@ -16,7 +16,7 @@
 from hoistplank.transport.pool import MIN_CONNECTIONS_PER_HOST, Pool, PoolSettings
 from hoistplank.transport.pooled_connection import PooledConnection
 from hoistplank.transport.pooled_request import RequestFailure
-from hoistplank.transport.transmission import Transmission
+from hoistplank.transport.transmission import Transmission, Undelivered
 
 ROLE = "cache host"
 ACCEPT_PROCESS = "hoistplank.lab.scale.accept_process"
@@ -41,7 +41,10 @@
     def encode(self) -> bytes:
         return REQUEST
 
-    def failed(self, how: RequestFailure) -> None:
+    def undelivered(self, proof: Undelivered) -> None:
+        """Its line is closed at the end of the measurement."""
+
+    def failed(self, failure: RequestFailure) -> None:
         """Its line is closed at the end of the measurement."""
 
 
--- a/hoistplank/routing/attempt_ending.py
+++ b/hoistplank/routing/attempt_ending.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
 from enum import StrEnum
 
 from hoistplank.decision.events import Outcome
-from hoistplank.protocol.cachewire import AnswerStatus
+from hoistplank.decision.retries import NEVER_RAN
+from hoistplank.protocol.cachewire import Answer, AnswerStatus
 from hoistplank.transport.pooled_request import RequestFailure
+from hoistplank.transport.transmission import Undelivered, UndeliveredReason
 
 
 class AttemptEnding(StrEnum):
@@ -51,11 +54,14 @@
     AttemptEnding.NOT_ATTEMPTED: Outcome.NOT_SENT,
 }
 
+ENDING_OF_UNDELIVERED = {
+    UndeliveredReason.REFUSED: AttemptEnding.CONNECTION_REFUSED,
+    UndeliveredReason.CONNECT_TIMED_OUT: AttemptEnding.CONNECT_TIMED_OUT,
+    UndeliveredReason.NOT_WRITTEN: AttemptEnding.NOT_WRITTEN,
+    UndeliveredReason.NOT_STARTED: AttemptEnding.NOT_STARTED,
+}
+
 ENDING_OF_FAILURE = {
-    RequestFailure.REFUSED: AttemptEnding.CONNECTION_REFUSED,
-    RequestFailure.CONNECT_TIMED_OUT: AttemptEnding.CONNECT_TIMED_OUT,
-    RequestFailure.NOT_WRITTEN: AttemptEnding.NOT_WRITTEN,
-    RequestFailure.NOT_STARTED: AttemptEnding.NOT_STARTED,
     RequestFailure.CONNECTION_LOST: AttemptEnding.CONNECTION_LOST,
     RequestFailure.ANSWER_SPOILED: AttemptEnding.ANSWER_SPOILED,
 }
@@ -69,3 +75,39 @@
     AnswerStatus.ERROR: AttemptEnding.ERROR,
     AnswerStatus.NOT_ATTEMPTED: AttemptEnding.NOT_ATTEMPTED,
 }
+
+
+@dataclass(frozen=True, slots=True)
+class AttemptEnd:
+    """The end of an attempt with its evidence: the host's answer, or the proof that it was not delivered.
+
+    Raises ValueError if the ending says that the attempt never ran and there is neither.
+    """
+
+    ending: AttemptEnding
+    answer: Answer | None = None
+    proof: Undelivered | None = None
+
+    def __post_init__(self) -> None:
+        if self.outcome in NEVER_RAN and self.answer is None and self.proof is None:
+            raise ValueError(f"an attempt can't end as '{self.ending}' without a proof")
+
+    @property
+    def outcome(self) -> int:
+        """The outcome that the decision logic is told."""
+        return OUTCOMES[self.ending]
+
+    @classmethod
+    def of_answer(cls, answer: Answer) -> AttemptEnd:
+        """Returns the end by the host's answer."""
+        return cls(ENDING_OF_STATUS[answer.status], answer=answer)
+
+    @classmethod
+    def of_undelivered(cls, proof: Undelivered) -> AttemptEnd:
+        """Returns the end of an attempt that never ran."""
+        return cls(ENDING_OF_UNDELIVERED[proof.reason], proof=proof)
+
+    @classmethod
+    def of_failure(cls, failure: RequestFailure) -> AttemptEnd:
+        """Returns the end of an attempt that may have run, with its connection."""
+        return cls(ENDING_OF_FAILURE[failure])
--- a/hoistplank/routing/attempts.py
+++ b/hoistplank/routing/attempts.py
@@ -9,14 +9,20 @@
 
 from hoistplank.decision import events as decision_events
 from hoistplank.decision.actions import SendAttempt
+from hoistplank.protocol import cachewire
 from hoistplank.protocol.cachewire import Answer
-from hoistplank.routing.attempt_ending import ENDING_OF_FAILURE, ENDING_OF_STATUS, AttemptEnding
+from hoistplank.routing.attempt_ending import AttemptEnd, AttemptEnding
 from hoistplank.routing.clock import Clock
 from hoistplank.routing.endpoint_registry import EndpointRegistry
 from hoistplank.routing.standstill import StandstillDetector
 from hoistplank.transport.pooled_connection import PooledConnection
 from hoistplank.transport.pooled_request import RequestFailure
-from hoistplank.transport.transmission import Transmission, TransmissionState
+from hoistplank.transport.transmission import (
+    Transmission,
+    TransmissionState,
+    Undelivered,
+    UndeliveredReason,
+)
 
 
 class Response(Protocol):
@@ -73,8 +79,7 @@
 
 
 class AttemptRecord(NamedTuple):
-    """An attempt that has ended, for the log: `transmission` is how much of it had been written by then,
-    `crossed` the ending that it reported itself, if that crossed with a timeout or a cancellation."""
+    """An attempt that has ended, for the log; `transmission` is how much of it had been written by then."""
 
     number: int
     host: str
@@ -82,23 +87,18 @@
     ending: AttemptEnding
     transmission: TransmissionState
     age_us: int  # since the decision to make it
-    crossed: AttemptEnding | None
 
     def __str__(self) -> str:
         source = f" from {self.source}" if self.source else ""
-        crossed = f", crossed '{self.crossed}'" if self.crossed is not None else ""
-        return (
-            f"{self.number} at {self.host}{source}: {self.ending}, {self.transmission},"
-            f" {self.age_us // 1000} ms{crossed}"
-        )
+        how = f"{self.ending}, {self.transmission}, {self.age_us // 1000} ms"
+        return f"{self.number} at {self.host}{source}: {how}"
 
 
 class AttemptEnded(NamedTuple):
-    """An attempt ended, with the cache host's answer if there was one."""
+    """An attempt ended."""
 
     attempt: Attempt
-    ending: AttemptEnding
-    answer: Answer | None
+    end: AttemptEnd
 
 
 class AttemptOwner(Protocol):
@@ -144,7 +144,7 @@
         self.timer: asyncio.TimerHandle | None = None
         self.is_finished = False
         self.transmission = Transmission()
-        self.reported: AttemptEnding | None = None  # its end, once that is in the router task's queue
+        self.end: AttemptEnd | None = None  # once it is in the router task's queue
         self.started_us, self.ended_us = now, 0
 
     def may_begin(self) -> bool:
@@ -172,13 +172,35 @@
         """Returns its message, with the time that its client has left when sending starts."""
         return self._encode_after(self.started_us - self.decided_us)
 
+    def undelivered(self, proof: Undelivered, /) -> None:
+        """Reports that it was not delivered: it never ran."""
+        self.report(AttemptEnd.of_undelivered(proof))
+
     def failed(self, failure: RequestFailure, /) -> None:
-        """Reports that the pool ended the attempt without an answer."""
-        self._end(ENDING_OF_FAILURE[failure], None)
+        """Reports that its connection ended without an answer: it may have run."""
+        self.report(AttemptEnd.of_failure(failure))
 
     def answered(self, answer: Answer) -> None:
         """Reports the cache host's answer."""
-        self._end(ENDING_OF_STATUS[answer.status], answer)
+        self.report(AttemptEnd.of_answer(answer))
+
+    def withdraw(self, ending: AttemptEnding, undelivered: UndeliveredReason) -> AttemptEnd:
+        """Tells the cache host to drop it, and returns its end: `undelivered` if no byte of it was written,
+        else `ending`."""
+        if self.connection is None:
+            proof = self.transmission.withdraw(undelivered)
+        else:
+            drop = cachewire.encode_drop(self.id)
+            proof = self.connection.cancel(self, drop, self.decided_at, undelivered)
+        return AttemptEnd.of_undelivered(proof) if proof is not None else AttemptEnd(ending)
+
+    def report(self, end: AttemptEnd) -> None:
+        """Reports its end to the router task; the first end counts."""
+        if self.end is not None:
+            return
+        self.end = end
+        self.ended_us = self.owner.clock.now()
+        self.owner.submit(AttemptEnded(self, end))
 
     def mark_finished(self) -> None:
         """Cancels the timer and removes the attempt from its request's attempts in flight."""
@@ -190,13 +212,5 @@
 
     def record(self, now: int, ending: AttemptEnding) -> AttemptRecord:
         """Returns what the log says of the attempt, which has ended with `ending`."""
-        crossed = self.reported if self.reported is not ending else None
         age_us = (self.ended_us or now) - self.decided_us
-        return AttemptRecord(
-            self.number, self.host, self.source, ending, self.transmission.state, age_us, crossed
-        )
-
-    def _end(self, ending: AttemptEnding, answer: Answer | None) -> None:
-        self.reported = ending
-        self.ended_us = self.owner.clock.now()
-        self.owner.submit(AttemptEnded(self, ending, answer))
+        return AttemptRecord(self.number, self.host, self.source, ending, self.transmission.state, age_us)
--- a/hoistplank/routing/cache_host_reader.py
+++ b/hoistplank/routing/cache_host_reader.py
@@ -27,7 +27,7 @@
                     cachewire.check_answer(
                         answer, client_digest=request.known_version, is_copy=request.is_cacheable
                     )
-                    pooled.finish(answer.request_id)
+                    pooled.finish(attempt)
                     attempt.answered(answer)
 
     return consume
--- a/hoistplank/routing/router_task.py
+++ b/hoistplank/routing/router_task.py
@@ -13,9 +13,8 @@
 from hoistplank.decision.router import Router
 from hoistplank.decision.settings import RouterSettings
 from hoistplank.degradation.observer import SignalObserver
-from hoistplank.protocol import cachewire
 from hoistplank.protocol.cachewire import Answer
-from hoistplank.routing.attempt_ending import OUTCOMES, AttemptEnding
+from hoistplank.routing.attempt_ending import AttemptEnding
 from hoistplank.routing.attempt_message import attempt_message
 from hoistplank.routing.attempts import Attempt, AttemptEnded, Request
 from hoistplank.routing.class_admission import ClassAdmission
@@ -43,7 +42,7 @@
 from hoistplank.routing.signal_feed import SignalFeed
 from hoistplank.routing.standstill import StandstillDetector
 from hoistplank.transport.pool import Pool
-from hoistplank.transport.pooled_request import RequestFailure
+from hoistplank.transport.transmission import UndeliveredReason
 
 MAX_TICK_S = 0.002
 UNLIMITED_OPEN_REQUESTS = 1 << 30  # if the settings set no cap
@@ -217,16 +216,15 @@
         attempt = event.attempt
         if attempt.is_finished:
             return
-        if attempt.reported is not None:
-            # Its own end stands in the queue behind this event. The connection knows nothing of it any more.
-            self.counts.crossed_by_ending[attempt.reported] += 1
+        if attempt.end is not None:
+            # Its own end is in the queue behind this event, and counts.
+            self.counts.crossed_by_ending[attempt.end.ending] += 1
             return
-        was_sent = _cancel(attempt)
-        ending = AttemptEnding.TIMED_OUT if was_sent else AttemptEnding.CONNECT_TIMED_OUT
-        self._on_attempt_ended(now, AttemptEnded(attempt, ending, None))
+        end = attempt.withdraw(AttemptEnding.TIMED_OUT, UndeliveredReason.CONNECT_TIMED_OUT)
+        self._on_attempt_ended(now, AttemptEnded(attempt, end))
 
     def _on_attempt_ended(self, now: int, event: AttemptEnded) -> None:
-        attempt, ending, answer = event
+        attempt, (ending, answer) = event.attempt, (event.end.ending, event.end.answer)
         if attempt.is_finished:
             return
         attempt.mark_finished()
@@ -234,7 +232,7 @@
         if self.attempt_observer is not None:
             self.attempt_observer(attempt, ending)
         request = attempt.request
-        outcome = OUTCOMES[ending]
+        outcome = event.end.outcome
         if outcome != Outcome.SUCCEEDED:
             request.unsuccessful.append(attempt.record(now, ending))
         took_us = (attempt.ended_us or now) - attempt.started_us
@@ -325,7 +323,7 @@
         if self.pool is not None and registered is not None:
             attempt.connection = self.pool.send(action.host, registered.address, attempt)
         if attempt.connection is None:
-            attempt.failed(RequestFailure.NOT_STARTED)
+            attempt.report(attempt.withdraw(AttemptEnding.CANCELLED, UndeliveredReason.NOT_STARTED))
 
     def _reject(self, _now: int, action: Reject) -> None:
         request = self.requests.by_id[action.request_id]
@@ -347,9 +345,8 @@
     def _cancel_attempt(self, _now: int, action: CancelAttempt) -> None:
         request = self.requests.by_id.get(action.request_id)
         attempt = request.attempts.get(action.attempt) if request else None
-        if attempt is not None and not attempt.is_finished and attempt.reported is None:
-            ending = AttemptEnding.CANCELLED if _cancel(attempt) else AttemptEnding.NOT_STARTED
-            self.submit(AttemptEnded(attempt, ending, None))
+        if attempt is not None and attempt.end is None:
+            attempt.report(attempt.withdraw(AttemptEnding.CANCELLED, UndeliveredReason.NOT_STARTED))
 
     def _set_timer(self, _now: int, action: SetTimer) -> None:
         loop = asyncio.get_running_loop()
@@ -357,10 +354,3 @@
 
     def _watch_endpoints(self, now: int, action: WatchEndpoints) -> None:
         """Does nothing: the change log is always followed, and reconnects are automatic."""
-
-
-def _cancel(attempt: Attempt) -> bool:
-    """Tells the cache host to drop an attempt; returns whether the attempt may have run."""
-    if attempt.connection is None:
-        return False
-    return attempt.connection.cancel(attempt.id, cachewire.encode_drop(attempt.id), attempt.decided_at)
--- a/hoistplank/transport/pool.py
+++ b/hoistplank/transport/pool.py
@@ -120,7 +120,7 @@
     # Called by the connections.
 
     def connection_lost(self) -> None:
-        """Doubles the limit of connections to a host, after one has ended with written requests on it."""
+        """Doubles the limit of connections to a host, after one has ended with requests that may have run."""
         self.connections_per_host = min(MAX_CONNECTIONS_PER_HOST, self.connections_per_host * 2)
         self.connections_per_host_set_at = self.loop.time()
 
--- a/hoistplank/transport/pooled_connection.py
+++ b/hoistplank/transport/pooled_connection.py
@@ -8,6 +8,7 @@
 from hoistplank.transport.connecting import connect_socket, open_tcp_socket
 from hoistplank.transport.connection import Connection, Consume
 from hoistplank.transport.pooled_request import PooledRequest, RequestFailure
+from hoistplank.transport.transmission import Undelivered, UndeliveredReason
 
 MAX_BUFFER_BYTES = 524_288  # an answer of 240,000 bytes with its head line, and the start of the next
 MAX_UNSENT_BYTES = 4_194_304
@@ -29,7 +30,7 @@
         """Reports that a connection ended by malformed input or by an error in this program."""
 
     def connection_lost(self) -> None:
-        """Called if the connection ended with requests on it that had been written."""
+        """Called if the connection ended with requests on it that may have run."""
 
     def discard(self, pooled: PooledConnection) -> None:
         """Removes a connection that takes no new requests; may be called repeatedly."""
@@ -51,8 +52,6 @@
         self.is_draining = False  # takes no new requests, and is closed after its last
         self.idle_since = now
         self.connection: Connection | None = None
-        self._started: set[str] = set()  # in flight; the kernel may have a byte of them
-        self._written: set[str] = set()  # in flight; the kernel has taken them whole
         self._queued: list[PooledRequest] = []  # waiting for the connection to be established
         self._has_left_pool, self._answer_spoiled = False, False
         self.task = pool.loop.create_task(self._run(), name=f"connection to cache host {host}")
@@ -68,58 +67,63 @@
             self._write(self.connection, request)
 
     def _write(self, connection: Connection, request: PooledRequest) -> None:
-        request_id, transmission = request.id, request.transmission
+        transmission = request.transmission
 
         def may_begin() -> bool:
-            if self.in_flight.get(request_id) is not request:
-                return False  # cancelled before its first byte
+            if self.in_flight.get(request.id) is not request or not transmission.may_begin:
+                return False  # it ended before its first byte
             if not request.may_begin():
-                self.finish(request_id)
-                request.failed(RequestFailure.NOT_STARTED)
+                self._withdraw(request)
                 return False
-            self._started.add(request_id)
             transmission.begin()
             return True
 
-        def on_written() -> None:
-            transmission.taken()
-            if self.in_flight.get(request_id) is request:
-                self._written.add(request_id)
-
-        def on_deferred() -> None:
-            transmission.not_taken()
-            if self.in_flight.get(request_id) is request:
-                self._started.discard(request_id)
-
-        connection.send(b"", may_begin, on_written, on_deferred, request.encode, transmission.partly_taken)
+        connection.send(
+            b"",
+            may_begin,
+            transmission.taken,
+            transmission.not_taken,
+            request.encode,
+            transmission.partly_taken,
+        )
 
-    def finish(self, request_id: str) -> PooledRequest | None:
-        """Removes a request that has ended, with or without an answer, and returns it; a draining connection
-        is closed after its last."""
-        request = self.in_flight.pop(request_id, None)
-        self._started.discard(request_id)
-        self._written.discard(request_id)
+    def _withdraw(self, request: PooledRequest) -> None:
+        """Ends a request that may not begin."""
+        self.finish(request)
+        proof = request.transmission.withdraw(UndeliveredReason.NOT_STARTED)
+        if proof is not None:
+            request.undelivered(proof)
+
+    def finish(self, request: PooledRequest) -> None:
+        """Removes a request that has ended, with or without an answer; a draining connection is closed after
+        its last. Does nothing if the request is not in flight here."""
+        if self.in_flight.get(request.id) is not request:
+            return
+        del self.in_flight[request.id]
         if not self.in_flight:
             self.idle_since = self.pool.loop.time()
             if self.is_draining:
                 self.close_gracefully()
-        return request
 
-    def cancel(self, request_id: str, cancel_message: bytes, started_at: float) -> bool:
-        """Ends a request and sends `cancel_message`; returns True if the request may have run.
+    def cancel(
+        self, request: PooledRequest, cancel_message: bytes, started_at: float, reason: UndeliveredReason
+    ) -> Undelivered | None:
+        """Ends a request, and sends `cancel_message` if it has begun; returns the proof that it never ran, or
+        None if there is none.
 
         A request of which the kernel has a part will be written whole and may run, so it gets the message.
         A connection on which nothing has been read since `started_at` may be dead and gets no new requests.
         """
-        may_have_run = request_id in self._started
-        if self.connection is not None:
+        proof = request.transmission.withdraw(reason)
+        is_in_flight = self.in_flight.get(request.id) is request
+        if self.connection is not None and is_in_flight:
             if self.connection.last_read_at < started_at:
                 self.is_draining = True
-            if may_have_run:
+            if proof is None:
                 self.connection.send(cancel_message)
         # After the message, because `finish` may close a draining connection.
-        self.finish(request_id)
-        return may_have_run
+        self.finish(request)
+        return proof
 
     def is_answer_stalled(self) -> bool:
         """True if a partial answer has got no more input for ANSWER_STALL_S: the requests here wait in
@@ -167,27 +171,27 @@
             self.task.cancel()
         return self.connection
 
-    async def _run(self) -> RequestFailure | None:
-        failure = await self._connect()
+    async def _run(self) -> UndeliveredReason | None:
+        reason = await self._connect()
         if self.connection is not None:
             error = await self.connection.run()
             self._answer_spoiled = self.connection.ended_inside_message
             if error is not None and not isinstance(error, OSError):
                 self._answer_spoiled = True
                 self.pool.report_error(self.host, error)
-        return failure
+        return reason
 
-    async def _connect(self) -> RequestFailure | None:
+    async def _connect(self) -> UndeliveredReason | None:
         """Connects and writes the queued requests; returns None on success."""
         try:
             sock = open_tcp_socket()
             await connect_socket(sock, self.address, self.pool.connect_timeout_s)
         except TimeoutError:
-            return RequestFailure.CONNECT_TIMED_OUT
+            return UndeliveredReason.CONNECT_TIMED_OUT
         except ConnectionRefusedError:
-            return RequestFailure.REFUSED
+            return UndeliveredReason.REFUSED
         except OSError:
-            return RequestFailure.NOT_WRITTEN
+            return UndeliveredReason.NOT_WRITTEN
         reader = self.pool.make_reader(self)
         self.connection = Connection(sock, reader, MAX_BUFFER_BYTES, MAX_UNSENT_BYTES)
         queued, self._queued = self._queued, []
@@ -195,32 +199,39 @@
             self._write(self.connection, request)
         return None
 
-    def _on_task_done(self, task: asyncio.Task[RequestFailure | None]) -> None:
-        """Releases the descriptor and fails the remaining requests; also runs if `_run` never started."""
+    def _on_task_done(self, task: asyncio.Task[UndeliveredReason | None]) -> None:
+        """Releases the descriptor and ends the remaining requests; also runs if `_run` never started."""
         self._has_left_pool = True
         self.pool.discard(self)
         self.pool.connection_ended()
-        failure = self._failure_of_unwritten(task)
-        # The end of a connection counts once against its host, however many requests were on it. An end
-        # inside an answer or by malformed input does not count: the host was there to send it.
-        written_failure = (
-            RequestFailure.ANSWER_SPOILED if self._answer_spoiled else RequestFailure.CONNECTION_LOST
-        )
-        if self._written and failure is RequestFailure.NOT_WRITTEN:
+        self._end_requests(self._reason_if_undelivered(task))
+
+    def _end_requests(self, reason: UndeliveredReason) -> None:
+        """Ends the requests in flight, after the connection: those that were not written whole never ran.
+
+        The end of a connection counts once against its host, however many requests were on it. An end inside
+        an answer or by malformed input does not count: the host was there to send it.
+        """
+        ends = [
+            (request, request.transmission.connection_ended(reason)) for request in self.in_flight.values()
+        ]
+        if any(proof is None for _, proof in ends):
             self.pool.connection_lost()
-        for request_id in list(self.in_flight):
-            was_written = request_id in self._written
-            request = self.finish(request_id)
-            if request is not None:
-                request.failed(written_failure if was_written else failure)
-                if was_written:
-                    written_failure = RequestFailure.ANSWER_SPOILED
-
-    def _failure_of_unwritten(self, task: asyncio.Task[RequestFailure | None]) -> RequestFailure:
+        failure = RequestFailure.ANSWER_SPOILED if self._answer_spoiled else RequestFailure.CONNECTION_LOST
+        for request, proof in ends:
+            self.finish(request)
+            if proof is not None:
+                request.undelivered(proof)
+            else:
+                request.failed(failure)
+                failure = RequestFailure.ANSWER_SPOILED
+
+    def _reason_if_undelivered(self, task: asyncio.Task[UndeliveredReason | None]) -> UndeliveredReason:
+        """Returns why a request that was not written whole was not delivered."""
         if task.cancelled():
-            return RequestFailure.NOT_WRITTEN
+            return UndeliveredReason.NOT_WRITTEN
         error = task.exception()
         if error is not None:
             self.pool.report_error(self.host, error)
-            return RequestFailure.NOT_WRITTEN
-        return task.result() or RequestFailure.NOT_WRITTEN
+            return UndeliveredReason.NOT_WRITTEN
+        return task.result() or UndeliveredReason.NOT_WRITTEN
--- a/hoistplank/transport/pooled_request.py
+++ b/hoistplank/transport/pooled_request.py
@@ -5,33 +5,33 @@
 import enum
 from typing import Protocol
 
-from hoistplank.transport.transmission import Transmission
+from hoistplank.transport.transmission import Transmission, Undelivered
 
 
 class RequestFailure(enum.StrEnum):
-    """The reason why a request ended without an answer. All but the last two prove that it did not run."""
+    """The reason why a request that may have run ended without an answer."""
 
-    REFUSED = "refused"  # the cache host's machine refused the connection
-    CONNECT_TIMED_OUT = "not up"  # the connection was not established in time
-    NOT_WRITTEN = "unwritten"  # the connection ended before the whole request was written
-    NOT_STARTED = "withheld"  # `may_begin` returned False when it was next to be written
     CONNECTION_LOST = "broken"  # the connection ended after it was written
-    # The connection ended after it was written, without counting against the host: it ended inside an answer
-    # or by malformed input, or the loss is already counted for another request on it.
+    # Likewise, without counting against the host: the connection ended inside an answer or by malformed
+    # input, or the loss is already counted for another request on it.
     ANSWER_SPOILED = "spoilt"
 
 
 class PooledRequest(Protocol):
-    """A request to be sent by the pool; `failed` is called once if it ends without an answer."""
+    """A request to be sent by the pool. If it ends without an answer, either `undelivered` or `failed` is
+    called, once."""
 
     id: str
     transmission: Transmission  # kept up to date by the connection that writes it
 
     def may_begin(self) -> bool:
-        """Called just before its first byte is written; on False it is not sent and fails as NOT_STARTED."""
+        """Called just before its first byte is written; on False it is withdrawn."""
 
     def encode(self) -> bytes:
         """Returns the bytes to write; called after `may_begin` has returned True."""
 
+    def undelivered(self, proof: Undelivered, /) -> None:
+        """Called when the request has ended and never ran."""
+
     def failed(self, failure: RequestFailure, /) -> None:
-        """Called when the request has ended without an answer."""
+        """Called when the request has ended and may have run."""
--- a/tests/dispatcher_scene.py
+++ b/tests/dispatcher_scene.py
@@ -11,7 +11,7 @@
 from hoistplank.fakes.wire import FastCgiClient
 from hoistplank.program.phase import Phase
 from hoistplank.transport.pooled_connection import PooledConnection
-from hoistplank.transport.pooled_request import RequestFailure
+from hoistplank.transport.transmission import UndeliveredReason
 from tests.helpers import Running, until
 
 BODY = bytes(range(256)) * 900
@@ -81,7 +81,7 @@
         self.open, self.waiting = asyncio.Event(), list[str]()
         original_connect = PooledConnection._connect
 
-        async def connect(connection: PooledConnection) -> RequestFailure | None:
+        async def connect(connection: PooledConnection) -> UndeliveredReason | None:
             self.waiting.append(connection.host)
             await self.open.wait()
             return await original_connect(connection)
--- a/tests/test_exactly_once.py
+++ b/tests/test_exactly_once.py
@@ -14,7 +14,7 @@
 from hoistplank.transport import pooled_connection
 from hoistplank.transport.connection import Connection
 from hoistplank.transport.pooled_connection import PooledConnection
-from hoistplank.transport.pooled_request import RequestFailure
+from hoistplank.transport.transmission import UndeliveredReason
 from tests.dispatcher_scene import (
     KEY,
     SteadyDispatcher,
@@ -102,9 +102,9 @@
         if ending in ("refused", "not up"):
             original_connect = PooledConnection._connect
 
-            async def connect(pooled: PooledConnection) -> RequestFailure | None:
+            async def connect(pooled: PooledConnection) -> UndeliveredReason | None:
                 host.connections += 1
-                return RequestFailure(ending) if host.connections == 1 else await original_connect(pooled)
+                return UndeliveredReason(ending) if host.connections == 1 else await original_connect(pooled)
 
             monkeypatch.setattr(PooledConnection, "_connect", connect)
         if ending in ("unwritten", "partly written"):
--- a/tests/test_request_log.py
+++ b/tests/test_request_log.py
@@ -56,7 +56,7 @@
 def test_lines_of_given_up_requests_are_limited_in_rate(tmp_path: Path) -> None:
     clock = SteppedClock()
     request_log = RequestLog(configuration(tmp_path).router_settings, clock)
-    record = AttemptRecord(0, "o", "", AttemptEnding.ERROR, TransmissionState.WRITTEN, 1_000, None)
+    record = AttemptRecord(0, "o", "", AttemptEnding.ERROR, TransmissionState.WRITTEN, 1_000)
 
     class GivenUp:
         id, class_name, received_us = "r", "booking", 0
