An answer to a request that is not written whole is ignored

What callers could see: a non-idempotent request that runs twice, or is refused though it runs.

Cause: the reader gave each answer to the attempt with its id, whatever of it had been written. 'overload', 'nobody' or 'not_here' for a message of which the system had a part settled the attempt as one that never ran, while the rest of the message went on to be written, and was run.

A host can't answer what it does not have whole: such an answer is surplus, as one to an unknown id, and the connection stays.

--- a/hoistplank/routing/cache_host_reader.py
+++ b/hoistplank/routing/cache_host_reader.py
@@ -19,10 +19,11 @@
             if not answers:
                 return start
             for answer in answers:
-                # A duplicate answer, one that crossed with its DROP, or one to an unknown id does not affect
-                # the other attempts: it is ignored, and the connection stays in use.
+                # A duplicate answer, one that crossed with its DROP, one to an unknown id, or one to a
+                # request that the host can't have whole does not affect the attempts: it is ignored, and
+                # the connection stays in use.
                 attempt = pooled.in_flight.get(answer.request_id)
-                if isinstance(attempt, Attempt):
+                if isinstance(attempt, Attempt) and attempt.transmission.is_written:
                     request = attempt.request
                     cachewire.check_answer(
                         answer, client_digest=request.known_version, is_copy=request.is_cacheable
--- a/hoistplank/transport/transmission.py
+++ b/hoistplank/transport/transmission.py
@@ -42,6 +42,11 @@
         """True if the request still waits to be handed to the system."""
         return self.state is TransmissionState.WAITING
 
+    @property
+    def is_written(self) -> bool:
+        """True if the system has all of the request."""
+        return self.state is TransmissionState.WRITTEN
+
     def begin(self) -> None:
         """The request is about to be handed to the system. Raises RuntimeError unless it waits for that."""
         if not self.may_begin:
--- a/tests/test_refusals.py
+++ b/tests/test_refusals.py
@@ -13,6 +13,8 @@
 from hoistplank.routing.attempts import AttemptEnded
 from hoistplank.routing.events import AttemptTimedOut, Event
 from hoistplank.routing.router_task import RouterTask
+from hoistplank.transport import pooled_connection
+from hoistplank.transport.connection import Connection
 from tests.dispatcher_scene import KEY, SteadyDispatcher
 from tests.helpers import until
 from tests.refusal_rig import DEADLINE_MS, play_requests, traffic_class
@@ -136,3 +138,76 @@
         assert not played.wrongly_refused()
 
     run_scene(scene(), limit_s=60)
+
+
+class EarlyAnsweringHost:
+    """Refuses its first attempt after ten bytes of it, then goes on to read it, and resets."""
+
+    def __init__(self, request_id: str) -> None:
+        self.request_id = request_id
+        self.taken: list[str] = []
+
+    async def serve_connection(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        first_bytes = await reader.readexactly(10)
+        if not self.taken:
+            writer.write(f"{self.request_id} overload - 0\r\n\r\n".encode())
+        while line := (first_bytes + await reader.readline()).decode().split():
+            await reader.readexactly(int(line[3]) + 2)
+            self.taken.append(line[1])
+            end_attempt(AttemptFault.RESET, line[1], writer)
+
+
+class HeldWrites:
+    """Has the system take ten bytes of the first write to a cache host, and the rest after `release`."""
+
+    def __init__(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        self.connection: Connection | None = None
+        self._flush = Connection._flush
+        monkeypatch.setattr(Connection, "_flush", lambda connection: self._flush_in_part(connection))
+
+    def _flush_in_part(self, connection: Connection) -> None:
+        is_to_host = connection.max_buffer_bytes == pooled_connection.MAX_BUFFER_BYTES
+        if not is_to_host or self.connection is not None:
+            self._flush(connection)
+            return
+        self.connection, sock = connection, connection.sock
+        connection.sock = ShortSocket(sock)  # type: ignore[assignment]
+        self._flush(connection)
+        connection.sock = sock
+        connection.loop.remove_writer(sock)
+
+    def release(self) -> None:
+        assert self.connection is not None
+        self.connection.loop.add_writer(self.connection.sock, self.connection._continue_write)
+
+
+class ShortSocket:
+    """Takes ten bytes of a write."""
+
+    def __init__(self, sock: Any) -> None:
+        self.sock = sock
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self.sock, name)
+
+    def send(self, data: bytes) -> int:
+        return int(self.sock.send(data[:10]))
+
+
+def test_answer_to_a_request_that_is_not_written_whole_is_none(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The rest of the request would still be written and run, after it was taken for one that never ran."""
+
+    async def scene() -> None:
+        host: Any = EarlyAnsweringHost(f"{1:016x}")
+        settings = settings_of("at_most_once", give_up=3.0)
+        async with SteadyDispatcher(tmp_path, {"o": host}, **settings) as dispatcher:
+            writes = HeldWrites(monkeypatch)
+            dispatcher.client.send(1, "order", KEY, b"x" * 100)
+            await until(lambda: writes.connection is not None and writes.connection.read_count > 0)
+            writes.release()
+            _, status, _, _ = await asyncio.wait_for(dispatcher.client.read_answer(), 5)
+            assert (len(host.taken), status) == (1, 502)
+
+    run_scene(scene())
