An attempt counts as one that may have run from its start until an outcome proves otherwise

RetryPolicy learned that a request may have run from the end of an attempt; before that, and for an end that never came, it held 'never ran'. Today a request with an attempt in flight is not given up, so nothing wrong came of it, but nothing in the data said so. Now each attempt stands in Request.possible_runs from the moment it is sent, with its time and host, and only an outcome of NEVER_RAN takes it out. First run, window, scope and the basis of a rejection are read from there.

--- a/hoistplank/decision/placement.py
+++ b/hoistplank/decision/placement.py
@@ -115,7 +115,8 @@
 
     def _may_attempt_again(self, now_us: int, request: Request) -> bool:
         """Returns True if a further attempt is allowed at least at the host where the first may have run."""
-        if not self.retries.may_attempt(now_us, request, request.first_run_host):
+        first_run = request.first_run
+        if not self.retries.may_attempt(now_us, request, first_run.host if first_run is not None else None):
             return False
         return self.retries.fits_budget(now_us, request)
 
--- a/hoistplank/decision/requests.py
+++ b/hoistplank/decision/requests.py
@@ -16,8 +16,6 @@
 # The capacity of a herd's token bucket, in requests.
 BUCKET_SIZE = 1.0
 
-NEVER_US = -1
-
 
 class TrafficClassState:
     """The moving averages of a traffic class: its sending time, and how late its fills are."""
@@ -53,6 +51,13 @@
 NO_ORDER = HostOrder(-1, [], [])
 
 
+class PossibleRun(NamedTuple):
+    """An attempt that may have run: when it was sent, and where."""
+
+    sent_us: int
+    host: Host
+
+
 @dataclass(slots=True, eq=False)
 class Request:
     """A request from its arrival until it is answered and none of its attempts is in flight."""
@@ -72,8 +77,8 @@
     attempts_made: int = 0
     in_flight: dict[int, Attempt] = field(default_factory=dict)
     last_host: Host | None = None
-    first_run_us: int = NEVER_US  # time at which the first attempt that may have run was sent
-    first_run_host: Host | None = None
+    # By number, the attempts of which no outcome has proven that they never ran, those in flight included.
+    possible_runs: dict[int, PossibleRun] = field(default_factory=dict)
     failed_hosts: list[Host] = field(default_factory=list)
     # State while the request waits.
     next_placement_us: int = 0  # earliest time of the next try to place it
@@ -85,6 +90,11 @@
     herd: Herd | None = None
     order: HostOrder = NO_ORDER  # used only if it belongs to no herd
 
+    @property
+    def first_run(self) -> PossibleRun | None:
+        """The first attempt that may have run; None if each has been proven never to have run."""
+        return next(iter(self.possible_runs.values()), None)
+
     def sending_time_us(self) -> float:
         """Returns the time that sending its answer takes; the mean of its class if its size is unknown."""
         return self.known_sending_time_us or self.class_state.sending_time_us
--- a/hoistplank/decision/retries.py
+++ b/hoistplank/decision/retries.py
@@ -8,7 +8,7 @@
 from hoistplank.decision.actions import EndReason, Fail, Reject, RejectionBasis
 from hoistplank.decision.events import AttemptEnded, CacheStatus, Outcome
 from hoistplank.decision.hosts import AttemptCounts, Host
-from hoistplank.decision.requests import Attempt, Request
+from hoistplank.decision.requests import Attempt, PossibleRun, Request
 from hoistplank.decision.settings import (
     DEDUPLICATED_EVERYWHERE,
     DEDUPLICATED_IN_ZONE,
@@ -16,6 +16,7 @@
     NON_IDEMPOTENT,
     Degradation,
     RouterSettings,
+    TrafficClass,
 )
 
 # The outcomes that prove that the request never ran.
@@ -75,36 +76,33 @@
             attempt_limit = min(attempt_limit, self.degradation.max_attempts)
         if request.closed or request.in_flight or request.attempts_made >= attempt_limit:
             return False
-        if idempotent or request.first_run_us < 0:
+        if idempotent or request.first_run is None:
             return True
-        return self._drops_repeat(now_us, request, host)
+        return self._drops_repeat(now_us, request.traffic_class, request.first_run, host)
 
-    def _drops_repeat(self, now_us: int, request: Request, host: Host | None) -> bool:
+    def _drops_repeat(
+        self, now_us: int, traffic_class: TrafficClass, first_run: PossibleRun, host: Host | None
+    ) -> bool:
         """Returns True if this host would drop a repeat of an attempt that may have run."""
-        traffic_class, first_host = request.traffic_class, request.first_run_host
         if traffic_class.semantics == NON_IDEMPOTENT:
             return False
-        if now_us > self._window_end_us(request):
+        if now_us > _window_end_us(traffic_class, first_run):
             return False
         if traffic_class.deduplication_scope == DEDUPLICATED_EVERYWHERE:
             return True
-        if first_host is None or host is None:
+        if host is None:
             return False
         if traffic_class.deduplication_scope == DEDUPLICATED_IN_ZONE:
-            return first_host.zone == host.zone
-        return first_host.cell == host.cell
-
-    def _window_end_us(self, request: Request) -> int:
-        """Returns the latest time at which a repeat may begin and is still dropped."""
-        window_us = request.traffic_class.deduplication_window_us
-        return request.first_run_us + window_us - DEDUPLICATION_MARGIN_US
+            return first_run.host.zone == host.zone
+        return first_run.host.cell == host.cell
 
     def start_by_us(self, request: Request) -> int:
-        """Returns the latest start of an attempt, connection setup included; 0 for no bound."""
-        traffic_class = request.traffic_class
-        if request.first_run_us < 0 or traffic_class.semantics == IDEMPOTENT:
+        """Returns the latest start of a request's next attempt, connection setup included; 0 for no
+        bound."""
+        first_run = request.first_run
+        if first_run is None or request.traffic_class.semantics == IDEMPOTENT:
             return 0
-        return self._window_end_us(request)
+        return _window_end_us(request.traffic_class, first_run)
 
     def fits_budget(self, now_us: int, request: Request) -> bool:
         """Returns True if a retry is within the budget of its class and of the host that failed last.
@@ -125,7 +123,9 @@
         return True
 
     def record_attempt(self, now_us: int, request: Request, host: Host) -> None:
-        """Counts an attempt by class and by the host that failed last, while there is a retry budget."""
+        """Records that an attempt is sent, which may run from now on; counts it by class and by the host
+        that failed last, while there is a retry budget."""
+        request.possible_runs[request.attempts_made] = PossibleRun(now_us, host)
         if not self.degradation.retry_share:
             return
         is_retry = request.last_host is not None
@@ -142,9 +142,8 @@
     def record_failure(self, now_us: int, attempt: Attempt, event: AttemptEnded) -> None:
         """Updates a request after the end of an attempt that did not answer it."""
         request, outcome, status = attempt.request, event.outcome, event.cache_status
-        if outcome not in NEVER_RAN and request.first_run_us < 0:
-            request.first_run_us = attempt.sent_us
-            request.first_run_host = attempt.host
+        if outcome in NEVER_RAN:
+            request.possible_runs.pop(attempt.number, None)
         if outcome == Outcome.MISS:
             request.missed_host = attempt.host
             request.missed_us = now_us
@@ -174,7 +173,7 @@
         traffic_class = request.traffic_class
         if not request.attempts_made:
             return RejectionBasis.NOT_ATTEMPTED
-        if request.first_run_us < 0:
+        if request.first_run is None:
             return RejectionBasis.NEVER_RAN
         if traffic_class.semantics == IDEMPOTENT:
             return RejectionBasis.IDEMPOTENT
@@ -182,6 +181,11 @@
             return None
         # The client's repeat may go to any host.
         is_dropped = traffic_class.deduplication_scope == DEDUPLICATED_EVERYWHERE
-        if is_dropped and repeated_us <= self._window_end_us(request):
+        if is_dropped and repeated_us <= _window_end_us(traffic_class, request.first_run):
             return RejectionBasis.DEDUPLICATED
         return None
+
+
+def _window_end_us(traffic_class: TrafficClass, first_run: PossibleRun) -> int:
+    """Returns the latest time at which a repeat may begin and is still dropped."""
+    return first_run.sent_us + traffic_class.deduplication_window_us - DEDUPLICATION_MARGIN_US
--- a/hoistplank/decision/router.py
+++ b/hoistplank/decision/router.py
@@ -273,6 +273,7 @@
             is_fill=planned.is_fill,
             answers_locally=planned.answers_locally or source is host,
         )
+        start_by_us = self.parts.retries.start_by_us(request)
         self._record_start(now_us, attempt)
         self.actions.append(
             SendAttempt(
@@ -284,7 +285,7 @@
                 retention=FILL_RETENTION,
                 max_age_us=self._max_age_us(now_us, request, planned),
                 join_fill=planned.joins_fill,
-                start_by_us=self.parts.retries.start_by_us(request),
+                start_by_us=start_by_us,
             )
         )
 
