The soak judges rule two: classes of each effect and scope, hosts that fail near the deadline

New: five drawn classes (non-idempotent, cached and not; keyed of scope all, zone, cell) with deadlines of 0.3 to 0.7 s and windows of 0.15 to 3 s, some sent in bursts; the origin and two to four other hosts end a share of their attempts by a reset, half an answer with and without an end, 'crashed', an answer, silence, 'overload' or 'nobody', mostly from 2.5 ms before to 0.5 ms after the end of the budget; short writes of 60 bytes beside it. The truth judges each repeat and each refusal (with its wait) from what hosts had whole. Two faulty builds: ends that cross a time-out count as never run, and keyed requests are refused after any window.

--- a/hoistplank/fakes/cache_host.py
+++ b/hoistplank/fakes/cache_host.py
@@ -82,7 +82,6 @@
         self.received: list[ReceivedRequest] = []  # from dispatchers, without the fills of other servers
         self.answers: list[SentAnswer] = []
         self.runs_by_key: dict[str, list[float]] = {}
-        self.tasks: set[asyncio.Task[None]] = set()
         self.port = 0
         self.health = "green"
         self.copy_bytes = COPY_BYTES
@@ -100,18 +99,19 @@
 
     async def serve_connection(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """Answer the requests of one connection until it ends; answers may overtake each other."""
+        tasks: set[asyncio.Task[None]] = set()
         try:
             while line := (await reader.readline()).decode().split():
                 if line[0] == "GET":
                     body = (await reader.readexactly(int(line[3]) + 2))[:-2]
                     fields = dict(part.split("=") for part in line[2].split(",") if "=" in part)
                     task = asyncio.create_task(self._answer(line[1], fields, body, writer))
-                    self.tasks.add(task)
-                    task.add_done_callback(self.tasks.discard)
+                    tasks.add(task)
+                    task.add_done_callback(tasks.discard)
                 elif line[0] in ("PING", "LOAD"):
                     writer.write(f"{line[1]} {self.health} - 0\r\n\r\n".encode())
         finally:
-            for task in list(self.tasks):
+            for task in list(tasks):
                 if writer.is_closing():
                     task.cancel()
 
@@ -132,11 +132,15 @@
         else:
             copy, cache_status = await self._fill_or_join(key, fields)
         if copy is None:
-            writer.write(f"{request_id} not_here - 0\r\n\r\n".encode())
+            self.write_refusal(request_id, "not_here", writer)
             return
         self._check_purge(request_id, key[0], copy)
         self._write(request_id, cache_status, copy, writer)
 
+    def write_refusal(self, request_id: str, status: str, writer: asyncio.StreamWriter) -> None:
+        """Answer with a status that says that the request never ran."""
+        writer.write(f"{request_id} {status} - 0\r\n\r\n".encode())
+
     async def _run_booking(self, idempotency_key: str, body: bytes) -> StoredCopy:
         await asyncio.sleep(self.work_s)
         runs = self.runs_by_key.setdefault(idempotency_key, [])
@@ -172,6 +176,9 @@
             fill.set_exception(error)
             fill.exception()  # marks it as retrieved: requests that joined the fill raise it themselves
             return None, ""
+        except asyncio.CancelledError:
+            fill.cancel()
+            raise
         finally:
             self.fills.pop(key, None)
         self.copies[key] = copy
--- a/hoistplank/lab/fleet/soak/build.py
+++ b/hoistplank/lab/fleet/soak/build.py
@@ -64,12 +64,49 @@
     GracefulShutdown.run = run  # type: ignore[method-assign]
 
 
+def _forget_ends() -> None:
+    from hoistplank.routing.attempt_ending import AttemptEnd, AttemptEnding
+    from hoistplank.routing.attempts import Attempt, AttemptEnded
+    from hoistplank.routing.events import AttemptTimedOut, Event
+    from hoistplank.routing.router_task import RouterTask
+    from hoistplank.transport.transmission import Transmission, UndeliveredReason
+
+    plain = RouterTask.submit
+    timed_out: set[Attempt] = set()
+
+    def submit(self: RouterTask, event: Event) -> None:
+        if isinstance(event, AttemptTimedOut):
+            timed_out.add(event.attempt)
+        elif isinstance(event, AttemptEnded) and event.attempt in timed_out:
+            proof = Transmission().withdraw(UndeliveredReason.CONNECT_TIMED_OUT)
+            end = AttemptEnd(AttemptEnding.CONNECT_TIMED_OUT, proof=proof)
+            event = AttemptEnded(event.attempt, end)
+        plain(self, event)
+
+    RouterTask.submit = submit  # type: ignore[method-assign]
+
+
+def _refuse_after_windows() -> None:
+    from hoistplank.decision.actions import EndReason, Fail, Reject
+    from hoistplank.decision.requests import Request
+    from hoistplank.decision.retries import RetryPolicy
+
+    plain = RetryPolicy.final_answer
+
+    def final_answer(self: RetryPolicy, now_us: int, request: Request, reason: EndReason) -> Reject | Fail:  # noqa: ARG001  in place of the other
+        return plain(self, 0, request, reason)
+
+    RetryPolicy.final_answer = final_answer  # type: ignore[method-assign]
+
+
 BUILDS: dict[str, Callable[[], None]] = {
     "any list": _forward_by_any_list,
     "departures": _ignore_departures,
     "purges": _ignore_purges,
     "whole time": _give_the_whole_time,
     "end at once": _end_at_once,
+    "forget ends": _forget_ends,
+    "any window": _refuse_after_windows,
 }
 
 
--- a/hoistplank/lab/fleet/soak/clients.py
+++ b/hoistplank/lab/fleet/soak/clients.py
@@ -10,12 +10,15 @@
 
 from hoistplank.fakes.cache_host import content
 from hoistplank.fakes.wire import FastCgiClient, connect
+from hoistplank.lab.fleet.soak.classes import SoakClass
 from hoistplank.lab.fleet.soak.truth import Rule, SentRequest, Truth
 
 CONNECTIONS = 4
 OBJECTS = 120
-BOOKING_SHARE, LEAVING_SHARE = 0.2, 0.06
-PAGE_DEADLINE_MS, BOOKING_DEADLINE_MS = 1_500, 3_000
+LEAVING_SHARE = 0.06
+# After this share of the requests that may not be repeated freely, more with the same deadline follow at once.
+BURST_SHARE, BURST_REQUESTS = 0.1, 8
+PUSHBACK_HEADER = b"X-Pushback-Ms: "
 # A request that crosses the close of its connection is sent again, once; what the rig itself takes is in it.
 CROSSING_S = 0.15
 COPY_BYTES = 4_000
@@ -31,21 +34,21 @@
         self._number = 0
         self.task = asyncio.create_task(self._read(), name="soak client")
 
-    def send(self, request_id: str, is_booking: bool) -> None:
+    def send(self, request_id: str, traffic_class: SoakClass) -> None:
         """Sends a request whole."""
         self._number = self._number % 60_000 + 1
         self.open[self._number] = request_id
-        deadline_ms = BOOKING_DEADLINE_MS if is_booking else PAGE_DEADLINE_MS
+        deadline_ms = round(traffic_class.deadline_s * 1e3)
         fields = {
             "HTTP_X_CORRELATION_ID": request_id,
             "HTTP_X_DEADLINE_MS": str(deadline_ms),
             "HTTP_X_SUBJECT": self.owner.object_of(request_id),
         }
-        if is_booking:
+        if traffic_class.is_keyed:
             fields["HTTP_X_OPERATION_KEY"] = request_id * 2
-        now = self.owner.now()
-        self.owner.truth.requests[request_id] = SentRequest(self.owner.number, now, deadline_ms / 1e3)
-        self.client.send(self._number, "booking" if is_booking else "page", fields)
+        sent = SentRequest(self.owner.number, self.owner.now(), traffic_class.deadline_s, traffic_class)
+        self.owner.truth.requests[request_id] = sent
+        self.client.send(self._number, traffic_class.name, fields)
 
     def leave(self) -> None:
         """The client goes away."""
@@ -64,10 +67,10 @@
     async def _read(self) -> None:
         with contextlib.suppress(OSError, asyncio.IncompleteReadError):
             while True:
-                number, status, _, body = await self.client.read_answer()
+                number, status, head, body = await self.client.read_answer()
                 request_id = self.open.pop(number, None)
                 if request_id is not None:
-                    self.owner.answered(request_id, status, body)
+                    self.owner.answered(request_id, status, head, body)
         self.is_closed = True
         self.client.writer.close()
         self.owner.connection_ended(list(self.open.values()))
@@ -76,8 +79,16 @@
 class SoakClients:
     """Sends requests to one dispatcher; `may_connect` says whether the front sends it new connections."""
 
-    def __init__(self, number: int, random: Random, truth: Truth, now: Callable[[], float]) -> None:
+    def __init__(
+        self,
+        number: int,
+        classes: tuple[SoakClass, ...],
+        random: Random,
+        truth: Truth,
+        now: Callable[[], float],
+    ) -> None:
         self.number, self.random, self.truth, self.now = number, random, truth, now
+        self.classes = classes
         self.address = ("127.0.0.1", 0)
         self.may_connect = False
         self.connections: list[ClientConnection] = []
@@ -98,20 +109,25 @@
         until = self.now() + seconds
         while self.now() < until:
             await asyncio.sleep(self.random.expovariate(rate))
-            self._spawn(self._send_one(self.new_id(), self.random.random() < BOOKING_SHARE))
-
-    async def _send_one(self, request_id: str, is_booking: bool) -> None:
+            shares = [traffic_class.share for traffic_class in self.classes]
+            traffic_class = self.random.choices(self.classes, shares)[0]
+            self._spawn(self._send_one(self.new_id(), traffic_class))
+            if not traffic_class.is_idempotent and self.random.random() < BURST_SHARE:
+                for _ in range(BURST_REQUESTS):
+                    self._spawn(self._send_one(self.new_id(), traffic_class))
+
+    async def _send_one(self, request_id: str, traffic_class: SoakClass) -> None:
         if self.random.random() < LEAVING_SHARE:
-            await self._send_and_leave(request_id, is_booking)
+            await self._send_and_leave(request_id, traffic_class)
             return
         connection = await self._connection()
         if connection is not None:
-            connection.send(request_id, is_booking)
+            connection.send(request_id, traffic_class)
 
-    async def _send_and_leave(self, request_id: str, is_booking: bool) -> None:
+    async def _send_and_leave(self, request_id: str, traffic_class: SoakClass) -> None:
         connection = await self._open()
         if connection is not None:
-            connection.send(request_id, is_booking)
+            connection.send(request_id, traffic_class)
             await asyncio.sleep(self.random.choice((0.0, 0.005, 0.05)))
             connection.leave()
 
@@ -134,10 +150,10 @@
         except OSError:
             return None  # nobody listens: nothing was taken
 
-    def answered(self, request_id: str, status: int, body: bytes) -> None:
+    def answered(self, request_id: str, status: int, head: bytes, body: bytes) -> None:
         """An answer has come whole."""
         now = self.now()
-        self.truth.answered(now, request_id, status)
+        self.truth.answered(now, request_id, status, _pushback_s(head))
         is_page = body and len(body) == COPY_BYTES
         if status == 200 and is_page and body != content(self.object_of(request_id), "0", COPY_BYTES):
             self.truth.broke(Rule.ANSWER, now, f"{request_id} was answered with other bytes")
@@ -150,7 +166,7 @@
             if request.is_owed and now - request.sent_at < CROSSING_S:
                 request.is_owed = False
                 self.truth.counts["sent again"] += 1
-                self._spawn(self._send_one(self.new_id(), is_booking=False))
+                self._spawn(self._send_one(self.new_id(), self.classes[0]))
 
     def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
         task = asyncio.create_task(work)
@@ -164,3 +180,11 @@
         for task in list(self._tasks):
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
+
+
+def _pushback_s(head: bytes) -> float:
+    """Returns how long an answer asks its client to stay away, 0 if it does not say."""
+    for line in head.split(b"\r\n"):
+        if line.startswith(PUSHBACK_HEADER):
+            return int(line.removeprefix(PUSHBACK_HEADER)) / 1e3
+    return 0.0
--- a/hoistplank/lab/fleet/soak/dispatcher.py
+++ b/hoistplank/lab/fleet/soak/dispatcher.py
@@ -7,7 +7,7 @@
 import json
 import signal
 import sys
-from collections.abc import Callable
+import time
 from pathlib import Path
 from random import Random
 from typing import Any
@@ -19,13 +19,14 @@
 from hoistplank.fakes.faulty_system import PLAN_VARIABLE, FaultPlan
 from hoistplank.fakes.wire import connect
 from hoistplank.lab.backends.parent_death import kill_on_parent_death_preexec
+from hoistplank.lab.fleet.soak.classes import SoakClass
 from hoistplank.lab.fleet.soak.clients import SoakClients
 from hoistplank.lab.fleet.soak.truth import LogSight, Rule, Truth
 
 BUILD_VARIABLE = "HOISTPLANK_SOAK_BUILD"  # names a faulty build, for the checkers
 COMMAND = ("-m", "hoistplank.lab.fleet.soak.build")
 READY_S = 10.0
-FRESH_S = [60.0, 0.0]  # by traffic class: a run's copies stay fresh, but for purges
+FRESH_S = 60.0  # a run's copies stay fresh, but for purges
 LONGEST_DEADLINE_S = 3.0
 KILL_AFTER_S = LONGEST_DEADLINE_S + 0.7  # from SIGTERM, at its earliest
 NEW_CONNECTIONS_S = 0.3  # for which the front still sends new connections after SIGTERM
@@ -45,13 +46,15 @@
         truth: Truth,
         random: Random,
         build: str,
-        now: Callable[[], float],
+        classes: tuple[SoakClass, ...],
     ) -> None:
-        self.number, self.folder, self.truth, self.build, self.now = number, folder, truth, build, now
+        self.number, self.folder, self.truth, self.build = number, folder, truth, build
+        self.now = time.monotonic
         self.proxy = FaultProxy(log_port)
         self.proxy.on_connection = self._log_asked
         self.sight = truth.sights[number] = LogSight()
-        self.clients = SoakClients(number, random, truth, now)
+        self.classes = classes
+        self.clients = SoakClients(number, classes, random, truth, self.now)
         self.process: asyncio.subprocess.Process | None = None
         self.is_stopping = False  # its end is ours
         self.is_ready = False  # whether the process handles signals by now
@@ -107,12 +110,22 @@
             "changelog": f"127.0.0.1:{self.proxy.port}",
             "seed": f"{self.number * 100 + self.starts:x}",
             "limits": {"sockets": 512, "memory_mb": 96},
-            "settings": deployment_settings(**{"family_info.lifetime_by_class": FRESH_S}),
+            "settings": self._settings(),
             "known": self.known,
         }
         (self.folder / f"dispatcher-{self.number}.json").write_text(json.dumps(configuration))
         self.plan_file.write_bytes(msgspec.json.encode(self.plan))
 
+    def _settings(self) -> dict[str, Any]:
+        changes: dict[str, Any] = {
+            "classes": [traffic_class.settings() for traffic_class in self.classes],
+            "family_info.uncached": [not traffic_class.is_cached for traffic_class in self.classes],
+            "family_info.lifetime_by_class": [
+                FRESH_S if traffic_class.is_cached else 0.0 for traffic_class in self.classes
+            ],
+        }
+        return deployment_settings(**changes)
+
     async def start(self, known: dict[str, Any]) -> None:
         """Starts the process with the list `known`, and waits until it is ready."""
         self.known, self.is_stopping, self.is_ready = known, False, False
--- a/hoistplank/lab/fleet/soak/plan.py
+++ b/hoistplank/lab/fleet/soak/plan.py
@@ -6,6 +6,8 @@
 from enum import StrEnum
 from random import Random
 
+from hoistplank.lab.fleet.soak.classes import SoakClass, draw_classes
+
 RUN_S = 9.0  # in which clients send
 WARM_S = 0.8  # before the first fault
 QUIET_S = 1.5  # at the end, without new faults
@@ -13,6 +15,10 @@
 CROWDED_SHARE = 0.15  # of the runs
 LEAST_FAULTS, MOST_FAULTS = 5, 9
 LEAST_PURGES = 8
+LEAST_FAILING_HOSTS, MOST_FAILING_HOSTS = 3, 5
+ORIGIN_TARGET = 0  # the number of the origin among the hosts
+FAILING_HOST_S, FAILING_SHARE = (2.0, 4.5), (0.4, 0.95)
+SHORT_IO_SHARE = 0.4
 # A log that was asked owes its answer within 3 s: silence that is longer is an outage, of which a refused
 # connection is the form that dispatchers can tell at once.
 MOST_SILENCE_S = 2.4
@@ -35,6 +41,7 @@
     CLOCK = "clock"  # the wall clock is stepped
     CALLS = "calls"  # accept, socket, connect fail for a moment
     SHORT_IO = "short reads and writes"
+    FAILING_HOST = "failing host"  # a share of its attempts ends other than by an answer in time
 
 
 # Drains and restarts are what the log's faults matter for.
@@ -53,6 +60,7 @@
     FaultKind.CLOCK: 2,
     FaultKind.CALLS: 2,
     FaultKind.SHORT_IO: 1,
+    FaultKind.FAILING_HOST: 0,  # each run has its own
 }
 FAILING_CALLS = {
     "accept": ("ECONNABORTED", "ENFILE", "ENOBUFS", "EMFILE"),
@@ -86,6 +94,7 @@
     dispatchers: int
     is_crowded: bool
     faults: list[Fault] = field(default_factory=list)
+    classes: tuple[SoakClass, ...] = ()
 
 
 def draw_plan(seed: int) -> SoakPlan:
@@ -108,8 +117,25 @@
     for _ in range(LEAST_PURGES):
         at_s = random.uniform(WARM_S, RUN_S / 3)
         faults.append(Fault(at_s, FaultKind.PURGE, random.randrange(1_000), 0.0))
+    faults += _draw_failing_hosts(seed)
     faults.sort(key=lambda fault: fault.at_s)
-    return SoakPlan(seed, CROWDED_DISPATCHERS if is_crowded else FEW_DISPATCHERS, is_crowded, faults)
+    dispatchers = CROWDED_DISPATCHERS if is_crowded else FEW_DISPATCHERS
+    return SoakPlan(seed, dispatchers, is_crowded, faults, draw_classes(seed))
+
+
+def _draw_failing_hosts(seed: int) -> list[Fault]:
+    """The origin fails in each run, and so do some other hosts; writes are short for a part of that time."""
+    random = Random(f"failing hosts {seed}")
+    faults = []
+    for number in range(random.randint(LEAST_FAILING_HOSTS, MOST_FAILING_HOSTS)):
+        at_s, length_s = random.uniform(WARM_S, RUN_S / 3), random.uniform(*FAILING_HOST_S)
+        target = ORIGIN_TARGET if number == 0 else random.randrange(1_000)
+        share = random.uniform(*FAILING_SHARE)
+        faults.append(Fault(at_s, FaultKind.FAILING_HOST, target, length_s, share))
+    if random.random() < SHORT_IO_SHARE:
+        at_s = faults[0].at_s + 0.2
+        faults.append(Fault(at_s, FaultKind.SHORT_IO, random.randrange(1_000), 1.5))
+    return faults
 
 
 def _draw_fault(random: Random, at_s: float) -> Fault:
--- a/hoistplank/lab/fleet/soak/run.py
+++ b/hoistplank/lab/fleet/soak/run.py
@@ -12,12 +12,14 @@
 
 import msgspec
 
-from hoistplank.fakes.cache_host import FILL_ID, FakeCacheServer, ServerDirectory
+from hoistplank.fakes.cache_host import FILL_ID, FakeCacheServer, PartKey, ServerDirectory, StoredCopy
 from hoistplank.fakes.change_log import FakeChangeLog
+from hoistplank.fakes.failing_cache_host import AttemptFault, end_attempt
 from hoistplank.fakes.settings import endpoint_entry, fleet_event
 from hoistplank.fakes.wire import serve
 from hoistplank.lab.fleet.soak.clients import COPY_BYTES, OBJECTS
 from hoistplank.lab.fleet.soak.dispatcher import SoakDispatcher
+from hoistplank.lab.fleet.soak.effects import HostPlace
 from hoistplank.lab.fleet.soak.plan import RUN_S, Fault, FaultKind, SoakPlan
 from hoistplank.lab.fleet.soak.truth import RIG_SLACK_S, TOLD_AT_LATEST_S, Rule, Truth
 
@@ -27,7 +29,11 @@
 RATE, CROWDED_RATE = 30.0, 20.0  # requests a second and dispatcher
 PURGE_GRACE_S = 1.0
 CROWDED_PIECE_BYTES, CROWDED_PURGES = 512, 60
-SHORT_IO_BYTES = 600
+SHORT_IO_BYTES = (60, 600)
+CELLS = 3
+NEAR_BUDGET_S = (-0.0025, 0.0005)  # when most faults of attempts come, from the end of the budget
+ATTEMPT_FAULTS: tuple[AttemptFault, ...] = tuple(AttemptFault)
+EARLY_FAULT_SHARE, REFUSAL_SHARE = 0.2, 0.1
 LAST_ANSWERS_S = 3.2  # after the last request
 LATE_TICK_S = 0.02
 # The rig's own lateness, at its most, beyond which a run proves nothing: the checkers allow for so much.
@@ -59,6 +65,19 @@
         self.copy_bytes, self.run = COPY_BYTES, run
         self.boot_ms = 0
         self.state = "ready"
+        self.cell = len(run.servers) % CELLS
+        self.failing_share = 0.0  # of its attempts
+        run.truth.effects.places[uid] = HostPlace(self.entry()["az"], self.cell)
+
+    def entry(self) -> dict[str, Any]:
+        """The host as the change log lists it."""
+        entry = endpoint_entry(self.uid, self.kind, self.port, self.state)
+        return entry | {"boot_ms": self.boot_ms, "pod_group": self.cell}
+
+    def write_refusal(self, request_id: str, status: str, writer: asyncio.StreamWriter) -> None:
+        """Answers that a request never ran, and records it."""
+        self.run.truth.effects.record_never_ran(request_id, self.uid)
+        super().write_refusal(request_id, status, writer)
 
     async def _answer(
         self, request_id: str, fields: dict[str, str], body: bytes, writer: asyncio.StreamWriter
@@ -67,8 +86,28 @@
             self.run.truth.attempt_received(
                 time.monotonic(), request_id, self.uid, fields.get("parent", ""), int(fields["budget"])
             )
+            if self.run.random.random() < self.failing_share:
+                await self._fail(request_id, int(fields["budget"]) / 1e3, writer)
+                return
         await super()._answer(request_id, fields, body, writer)
 
+    def _fresh_copy(self, key: PartKey, fields: dict[str, str]) -> StoredCopy | None:
+        """Returns the cached copy; an origin makes each anew."""
+        return None if self.kind == "origin" else super()._fresh_copy(key, fields)
+
+    async def _fail(self, request_id: str, budget_s: float, writer: asyncio.StreamWriter) -> None:
+        """Ends an attempt by a fault, mostly near the end of its budget."""
+        random = self.run.random
+        self.run.truth.counts["failed attempts"] += 1
+        after_s = budget_s + random.uniform(*NEAR_BUDGET_S)
+        if random.random() < EARLY_FAULT_SHARE:
+            after_s = random.uniform(0.0, budget_s)
+        await asyncio.sleep(after_s)
+        if random.random() < REFUSAL_SHARE and not writer.is_closing():
+            self.write_refusal(request_id, random.choice(("overload", "nobody")), writer)
+            return
+        end_attempt(random.choice(ATTEMPT_FAULTS), request_id, writer)
+
 
 class SoakRun:
     """Everything of one run. `build`: a faulty build, "" for the program as it is."""
@@ -93,13 +132,9 @@
         await server.start()
         return server
 
-    def _entry(self, server: RecordingServer) -> dict[str, Any]:
-        entry = endpoint_entry(server.uid, server.kind, server.port, server.state)
-        return entry | {"boot_ms": server.boot_ms}
-
     def known(self) -> dict[str, Any]:
         """The list and the purges as of now, as a configuration has them."""
-        listed = [self._entry(server) for server in self.servers if server.state != "gone"]
+        listed = [server.entry() for server in self.servers if server.state != "gone"]
         purges = [event for event in self.change_log.events if "invalidate" in event]
         return {"seq": self.seq, "results": [*purges, fleet_event(self.seq, listed, whole=True)]}
 
@@ -111,7 +146,7 @@
         server.state = state
         if state != "ready":
             self.truth.drained_at.setdefault(server.uid, time.monotonic())
-        self._publish(fleet={"rev": self.seq + 1, "all": False, "targets": [self._entry(server)]})
+        self._publish(fleet={"rev": self.seq + 1, "all": False, "targets": [server.entry()]})
 
     def _may_leave(self, target: int) -> RecordingServer | None:
         """A host that may drain or go: enough of its kind stay."""
@@ -141,6 +176,7 @@
             FaultKind.CLOCK: self._clock,
             FaultKind.CALLS: self._calls,
             FaultKind.SHORT_IO: self._short_io,
+            FaultKind.FAILING_HOST: self._failing_host,
         }
         await handlers[fault.kind](fault, dispatcher)
 
@@ -213,10 +249,17 @@
         dispatcher.set_plan(msgspec.structs.replace(dispatcher.plan, failures={}))
 
     async def _short_io(self, fault: Fault, dispatcher: SoakDispatcher) -> None:
-        dispatcher.set_plan(msgspec.structs.replace(dispatcher.plan, max_io_bytes=SHORT_IO_BYTES))
+        max_io_bytes = SHORT_IO_BYTES[fault.target % len(SHORT_IO_BYTES)]
+        dispatcher.set_plan(msgspec.structs.replace(dispatcher.plan, max_io_bytes=max_io_bytes))
         await asyncio.sleep(fault.length_s)
         dispatcher.set_plan(msgspec.structs.replace(dispatcher.plan, max_io_bytes=0))
 
+    async def _failing_host(self, fault: Fault, _dispatcher: SoakDispatcher) -> None:
+        server = self.servers[fault.target % len(self.servers)]
+        server.failing_share = fault.amount
+        await asyncio.sleep(fault.length_s)
+        server.failing_share = 0.0
+
     # From start to end.
 
     async def play(self) -> SoakResult:
@@ -248,12 +291,18 @@
             await self._add_server(f"box-c{number}", "box")
         for number in range(PARENTS):
             await self._add_server(f"parent-p{number}", "parent")
-        self._publish(fleet={"rev": 1, "all": True, "targets": [self._entry(one) for one in self.servers]})
+        self._publish(fleet={"rev": 1, "all": True, "targets": [one.entry() for one in self.servers]})
         log_port = await serve(self.change_log.serve_connection)
         for number in range(self.plan.dispatchers):
             random = Random(self.plan.seed * 1_000 + number)
             dispatcher = SoakDispatcher(
-                number, self.folder, log_port, self.truth, random, self.build, time.monotonic
+                number,
+                self.folder,
+                log_port,
+                self.truth,
+                random,
+                self.build,
+                self.plan.classes,
             )
             self.dispatchers.append(dispatcher)
             await dispatcher.proxy.listen()
--- a/hoistplank/lab/fleet/soak/truth.py
+++ b/hoistplank/lab/fleet/soak/truth.py
@@ -9,6 +9,9 @@
 from dataclasses import dataclass, field
 from enum import StrEnum
 
+from hoistplank.lab.fleet.soak.classes import SoakClass
+from hoistplank.lab.fleet.soak.effects import EffectRecord
+
 DRAIN_GRACE_S = 0.25
 DEPARTURE_S = 0.1  # after a client has left, until no attempt may begin for it
 BUDGET_SLACK_MS = 150
@@ -18,13 +21,14 @@
 # What a log that could not be heard has to tell counts as told so long after it was published.
 TOLD_AT_LATEST_S = 7.0
 MAX_SHOWN = 20
+SERVED, REFUSALS = 200, (429, 503)
 
 
 class Rule(StrEnum):
     """The rules that are checked."""
 
     ANSWER = "exactly one whole answer in time"
-    EFFECT = "no effect twice"
+    EFFECT = "no effect twice, nothing refused that may have run"
     DRAIN = "nothing new to a drained host"
     PURGE = "nothing older than a purge"
     DEPARTURE = "no attempt for a client that left"
@@ -51,6 +55,7 @@
     dispatcher: int
     sent_at: float
     deadline_s: float
+    traffic_class: SoakClass
     left_at: float | None = None
     statuses: list[int] = field(default_factory=list)
     answered_at: float | None = None
@@ -101,6 +106,7 @@
         self.requests: dict[str, SentRequest] = {}
         self.sights: dict[int, LogSight] = {}
         self.drained_at: dict[str, float] = {}  # by host: when its drain or end was published
+        self.effects = EffectRecord()
 
     def broke(self, rule: Rule, at_s: float, description: str) -> None:
         """A rule was broken."""
@@ -115,6 +121,7 @@
         if request is None:
             self.broke(Rule.EFFECT, now, f"{host} got {request_id}, which nobody has sent")
             return
+        self.effects.record_taken(now, request_id, host)
         for name in (host, source):
             self._check_drain(now, request, request_id, name)
         left_at = request.left_at
@@ -140,9 +147,14 @@
                 f"{request_id} of dispatcher {request.dispatcher} at or from {host} {late_ms:.0f} ms after",
             )
 
-    def answered(self, now: float, request_id: str, status: int) -> None:
-        """A client has read a whole answer."""
+    def answered(self, now: float, request_id: str, status: int, wait_s: float = 0.0) -> None:
+        """A client has read a whole answer; `wait_s`: how long a refusal asks it to stay away."""
         request = self.requests[request_id]
+        if status in REFUSALS:
+            self.effects.record_refusal(now, request_id, wait_s)
+            self.counts[f"refused: {request.traffic_class.name}"] += 1
+        elif status == SERVED:
+            self.counts[f"served: {request.traffic_class.name}"] += 1
         request.statuses.append(status)
         self.counts[f"status {status}"] += 1
         if len(request.statuses) > 1:
@@ -163,3 +175,6 @@
         for request_id, request in self.requests.items():
             if request.is_owed and request.left_at is None and not request.statuses:
                 self.broke(Rule.ANSWER, now, f"no answer to {request_id} of dispatcher {request.dispatcher}")
+        classes = {request_id: request.traffic_class for request_id, request in self.requests.items()}
+        for violation in self.effects.violations(classes):
+            self.broke(Rule.EFFECT, now, violation)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -4,6 +4,8 @@
 
 import pytest
 
+from hoistplank.lab.fleet.soak.classes import BOOKING, PAGE, SoakClass, draw_classes
+from hoistplank.lab.fleet.soak.effects import EffectRecord, HostPlace
 from hoistplank.lab.fleet.soak.plan import RUN_S, FaultKind, draw_plan
 from hoistplank.lab.fleet.soak.truth import LogSight, Rule, SentRequest, Truth
 
@@ -14,9 +16,13 @@
         assert plan == draw_plan(seed)
         times = [fault.at_s for fault in plan.faults]
         assert times == sorted(times) and times[-1] < RUN_S
-        assert {FaultKind.CRASH, FaultKind.DRAIN, FaultKind.SLOW_LOG, FaultKind.RETIRE} <= {
-            fault.kind for fault in plan.faults
-        }
+        assert {
+            FaultKind.CRASH,
+            FaultKind.DRAIN,
+            FaultKind.SLOW_LOG,
+            FaultKind.RETIRE,
+            FaultKind.FAILING_HOST,
+        } <= {fault.kind for fault in plan.faults}
     kinds = {fault.kind for seed in range(200) for fault in draw_plan(seed).faults}
     assert kinds == set(FaultKind)
     assert 0 < sum(draw_plan(seed).is_crowded for seed in range(200)) < 60
@@ -37,7 +43,7 @@
 def truth_with_request() -> Truth:
     truth = Truth()
     truth.sights[0] = LogSight()
-    truth.requests["r"] = SentRequest(0, 10.0, 1.5)
+    truth.requests["r"] = SentRequest(0, 10.0, 1.5, PAGE)
     return truth
 
 
@@ -77,3 +83,60 @@
     left.requests["r"].left_at = 10.1
     left.attempt_received(10.5, "r", "host", "p", 900)
     assert [row.rule for row in left.violations] == [Rule.DEPARTURE]
+
+
+def test_the_classes_of_a_seed_have_each_effect_and_scope_and_short_times() -> None:
+    for seed in range(50):
+        classes = draw_classes(seed)
+        assert classes == draw_classes(seed)
+        kinds = {(row.semantics, row.scope) for row in classes if not row.is_idempotent}
+        scopes = {("deduplicated", scope) for scope in ("all", "zone", "cell")}
+        assert kinds == {("at_most_once", "all"), *scopes}
+        assert abs(sum(row.share for row in classes) - 1.0) < 1e-9
+    drawn = [row for seed in range(50) for row in draw_classes(seed)]
+    assert (
+        min(row.deadline_s for row in drawn) < 0.5
+        and min(row.window_s for row in drawn if row.is_keyed) < 0.3
+    )
+
+
+ONCE = SoakClass("order", "at_most_once", "all", 0.0, 0.4, False, 0.1)
+SHORT = SoakClass("payment", "deduplicated", "all", 0.15, 0.4, False, 0.1)
+ZONED = SoakClass("zone-vote", "deduplicated", "zone", 3.0, 0.4, True, 0.1)
+CELLED = SoakClass("cell-vote", "deduplicated", "cell", 3.0, 0.4, True, 0.1)
+PLACES = {"a": HostPlace("z1", 0), "b": HostPlace("z1", 1), "c": HostPlace("z1", 0), "o": HostPlace("hub", 2)}
+
+# The class, the attempts (host, time, whether the host said that it never ran), the refusal (time, wait), and
+# how many violations there are.
+COURSES = {
+    "a failure is no refusal": (ONCE, [("a", 0.0, False)], None, 0),
+    "refused though whole at a host": (ONCE, [("a", 0.0, False)], (0.4, 0.0), 1),
+    "refused after the host's refusal": (ONCE, [("a", 0.0, True)], (0.4, 0.0), 0),
+    "again though whole at a host": (ONCE, [("a", 0.0, False), ("a", 0.1, False)], None, 1),
+    "again after the host's refusal": (ONCE, [("a", 0.0, True), ("a", 0.1, False)], None, 0),
+    "an idempotent request": (PAGE, [("a", 0.0, False), ("b", 0.1, False)], (0.4, 0.0), 0),
+    "a repeat in the window": (BOOKING, [("o", 0.0, False), ("o", 2.9, False)], None, 0),
+    "a repeat after the window": (SHORT, [("o", 0.0, False), ("o", 0.4, False)], None, 1),
+    "refused in the window": (BOOKING, [("o", 0.0, False)], (1.0, 1.0), 0),
+    "refused after the window": (SHORT, [("o", 0.0, False)], (0.4, 0.0), 1),
+    "refused for longer than the window": (BOOKING, [("o", 0.0, False)], (2.5, 0.9), 1),
+    "in the same zone": (ZONED, [("a", 0.0, False), ("b", 0.1, False)], None, 0),
+    "in another zone": (ZONED, [("a", 0.0, False), ("o", 0.1, False)], None, 1),
+    "zoned and refused": (ZONED, [("a", 0.0, False)], (0.1, 0.0), 1),
+    "in the same cell": (CELLED, [("a", 0.0, False), ("c", 0.1, False)], None, 0),
+    "in another cell": (CELLED, [("a", 0.0, False), ("b", 0.1, False)], None, 1),
+}
+
+
+@pytest.mark.parametrize("name", COURSES)
+def test_repeats_and_refusals_are_judged_by_what_hosts_had_whole(name: str) -> None:
+    traffic_class, attempts, refusal, expected_count = COURSES[name]
+    record = EffectRecord()
+    record.places.update(PLACES)
+    for host, at_s, never_ran in attempts:
+        record.record_taken(at_s, "r", host)
+        if never_ran:
+            record.record_never_ran("r", host)
+    if refusal is not None:
+        record.record_refusal(refusal[0], "r", refusal[1])
+    assert len(list(record.violations({"r": traffic_class}))) == expected_count
