--- a/hoistplank/lab/fleet/soak/clients.py
+++ b/hoistplank/lab/fleet/soak/clients.py
@@ -16,7 +16,7 @@
 CONNECTIONS = 4
 OBJECTS = 120
 LEAVING_SHARE = 0.06
-# After this share of the requests that may not be repeated freely, more with the same deadline follow at once.
+# After this share of the requests that may not be repeated freely, more of the class follow at once.
 BURST_SHARE, BURST_REQUESTS = 0.1, 8
 PUSHBACK_HEADER = b"X-Pushback-Ms: "
 # A request that crosses the close of its connection is sent again, once; what the rig itself takes is in it.
