--- a/tests/test_refusals.py
+++ b/tests/test_refusals.py
@@ -9,6 +9,7 @@
 
 import pytest
 
+from hoistplank.decision.actions import CancelAttempt
 from hoistplank.fakes.failing_cache_host import AttemptFault, end_attempt
 from hoistplank.routing.attempts import AttemptEnded
 from hoistplank.routing.events import AttemptTimedOut, Event
@@ -158,10 +159,11 @@
 
 
 class HeldWrites:
-    """Has the system take ten bytes of the first write to a cache host, and the rest after `release`."""
+    """Has the system take some bytes of the first write to a cache host, and the rest after `release`."""
 
-    def __init__(self, monkeypatch: pytest.MonkeyPatch) -> None:
+    def __init__(self, monkeypatch: pytest.MonkeyPatch, taken_bytes: int = 10) -> None:
         self.connection: Connection | None = None
+        self.taken_bytes = taken_bytes
         self._flush = Connection._flush
         monkeypatch.setattr(Connection, "_flush", lambda connection: self._flush_in_part(connection))
 
@@ -171,7 +173,7 @@
             self._flush(connection)
             return
         self.connection, sock = connection, connection.sock
-        connection.sock = ShortSocket(sock)  # type: ignore[assignment]
+        connection.sock = ShortSocket(sock, self.taken_bytes)  # type: ignore[assignment]
         self._flush(connection)
         connection.sock = sock
         connection.loop.remove_writer(sock)
@@ -182,16 +184,18 @@
 
 
 class ShortSocket:
-    """Takes ten bytes of a write."""
+    """Takes some bytes of a write; none: it would block."""
 
-    def __init__(self, sock: Any) -> None:
-        self.sock = sock
+    def __init__(self, sock: Any, taken_bytes: int) -> None:
+        self.sock, self.taken_bytes = sock, taken_bytes
 
     def __getattr__(self, name: str) -> Any:
         return getattr(self.sock, name)
 
     def send(self, data: bytes) -> int:
-        return int(self.sock.send(data[:10]))
+        if not self.taken_bytes:
+            raise BlockingIOError
+        return int(self.sock.send(data[: self.taken_bytes]))
 
 
 def test_answer_to_a_request_that_is_not_written_whole_is_none(
@@ -211,3 +215,51 @@
             assert (len(host.taken), status) == (1, 502)
 
     run_scene(scene())
+
+
+@pytest.mark.parametrize("taken_bytes, expected_status, expected_taken", [(0, 503, 0), (10, 502, 1)])
+def test_timeout_of_a_request_that_waits_to_be_written(
+    tmp_path: Path,
+    taken_bytes: int,
+    expected_status: int,
+    expected_taken: int,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Without its first byte it is withdrawn for good; with it, it is written to its end and may run."""
+
+    async def scene() -> None:
+        host: Any = HoldingHost()
+        settings = settings_of("at_most_once")
+        async with SteadyDispatcher(tmp_path, {"o": host}, **settings) as dispatcher:
+            writes = HeldWrites(monkeypatch, taken_bytes)
+            dispatcher.client.send(1, "order", KEY | {"HTTP_X_DEADLINE_MS": str(DEADLINE_MS)}, b"x" * 100)
+            _, status, _, _ = await asyncio.wait_for(dispatcher.client.read_answer(), 5)
+            writes.release()
+            dispatcher.client.send(2, "order", KEY | {"HTTP_X_DEADLINE_MS": str(DEADLINE_MS)}, b"x" * 100)
+            await until(lambda: f"{2:016x}" in host.taken)
+            assert (status, host.taken.count(f"{1:016x}")) == (expected_status, expected_taken)
+
+    run_scene(scene())
+
+
+def test_cancellation_leaves_an_attempt_to_the_end_that_it_has_reported(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The answer is in the queue when the Router cancels the attempt: it is served, not tried again."""
+
+    async def scene() -> None:
+        host: Any = HoldingHost()
+        settings = settings_of("idempotent", give_up=3.0)
+        async with SteadyDispatcher(tmp_path, {"o": host}, **settings) as dispatcher:
+            router_task = dispatcher.service.router_task
+            turns = HeldTurns(router_task, AttemptEnded, monkeypatch)
+            dispatcher.client.send(1, "order", KEY, b"x" * 100)
+            await until(lambda: bool(host.taken))
+            host.end_all(AttemptFault.ANSWER)
+            await until(turns.has_event(AttemptEnded))
+            router_task._cancel_attempt(router_task.clock.now(), CancelAttempt(f"{1:016x}", 0))
+            turns.release()
+            _, status, _, _ = await asyncio.wait_for(dispatcher.client.read_answer(), 5)
+            assert (len(host.taken), status) == (1, 200)
+
+    run_scene(scene())
