--- a/hoistplank/lab/fleet/soak/run.py
+++ b/hoistplank/lab/fleet/soak/run.py
@@ -12,28 +12,23 @@
 
 import msgspec
 
-from hoistplank.fakes.cache_host import FILL_ID, FakeCacheServer, PartKey, ServerDirectory, StoredCopy
+from hoistplank.fakes.cache_host import ServerDirectory
 from hoistplank.fakes.change_log import FakeChangeLog
-from hoistplank.fakes.failing_cache_host import AttemptFault, end_attempt
-from hoistplank.fakes.settings import endpoint_entry, fleet_event
+from hoistplank.fakes.settings import fleet_event
 from hoistplank.fakes.wire import serve
-from hoistplank.lab.fleet.soak.clients import COPY_BYTES, OBJECTS
+from hoistplank.lab.fleet.soak.clients import OBJECTS
 from hoistplank.lab.fleet.soak.dispatcher import SoakDispatcher
-from hoistplank.lab.fleet.soak.effects import HostPlace
 from hoistplank.lab.fleet.soak.plan import RUN_S, Fault, FaultKind, SoakPlan
+from hoistplank.lab.fleet.soak.server import RecordingServer
 from hoistplank.lab.fleet.soak.truth import RIG_SLACK_S, TOLD_AT_LATEST_S, Rule, Truth
 
 CACHES, PARENTS = 8, 3
 LEAST_CACHES, LEAST_PARENTS = 3, 1  # that stay up, whatever the plan says
-WORK_S = 0.01
 RATE, CROWDED_RATE = 30.0, 20.0  # requests a second and dispatcher
 PURGE_GRACE_S = 1.0
 CROWDED_PIECE_BYTES, CROWDED_PURGES = 512, 60
 SHORT_IO_BYTES = (60, 600)
 CELLS = 3
-NEAR_BUDGET_S = (-0.0025, 0.0005)  # when most faults of attempts come, from the end of the budget
-ATTEMPT_FAULTS: tuple[AttemptFault, ...] = tuple(AttemptFault)
-EARLY_FAULT_SHARE, REFUSAL_SHARE = 0.2, 0.1
 LAST_ANSWERS_S = 3.2  # after the last request
 LATE_TICK_S = 0.02
 # The rig's own lateness, at its most, beyond which a run proves nothing: the checkers allow for so much.
@@ -57,58 +52,6 @@
         return self.late_ms > MAX_LATE_S * 1e3
 
 
-class RecordingServer(FakeCacheServer):
-    """A server that tells the truth of every attempt that it reads."""
-
-    def __init__(self, uid: str, kind: str, directory: ServerDirectory, run: SoakRun) -> None:
-        super().__init__(uid, kind, directory, WORK_S)
-        self.copy_bytes, self.run = COPY_BYTES, run
-        self.boot_ms = 0
-        self.state = "ready"
-        self.cell = len(run.servers) % CELLS
-        self.failing_share = 0.0  # of its attempts
-        run.truth.effects.places[uid] = HostPlace(self.entry()["az"], self.cell)
-
-    def entry(self) -> dict[str, Any]:
-        """The host as the change log lists it."""
-        entry = endpoint_entry(self.uid, self.kind, self.port, self.state)
-        return entry | {"boot_ms": self.boot_ms, "pod_group": self.cell}
-
-    def write_refusal(self, request_id: str, status: str, writer: asyncio.StreamWriter) -> None:
-        """Answers that a request never ran, and records it."""
-        self.run.truth.effects.record_never_ran(request_id, self.uid)
-        super().write_refusal(request_id, status, writer)
-
-    async def _answer(
-        self, request_id: str, fields: dict[str, str], body: bytes, writer: asyncio.StreamWriter
-    ) -> None:
-        if request_id != FILL_ID:
-            self.run.truth.attempt_received(
-                time.monotonic(), request_id, self.uid, fields.get("parent", ""), int(fields["budget"])
-            )
-            if self.run.random.random() < self.failing_share:
-                await self._fail(request_id, int(fields["budget"]) / 1e3, writer)
-                return
-        await super()._answer(request_id, fields, body, writer)
-
-    def _fresh_copy(self, key: PartKey, fields: dict[str, str]) -> StoredCopy | None:
-        """Returns the cached copy; an origin makes each anew."""
-        return None if self.kind == "origin" else super()._fresh_copy(key, fields)
-
-    async def _fail(self, request_id: str, budget_s: float, writer: asyncio.StreamWriter) -> None:
-        """Ends an attempt by a fault, mostly near the end of its budget."""
-        random = self.run.random
-        self.run.truth.counts["failed attempts"] += 1
-        after_s = budget_s + random.uniform(*NEAR_BUDGET_S)
-        if random.random() < EARLY_FAULT_SHARE:
-            after_s = random.uniform(0.0, budget_s)
-        await asyncio.sleep(after_s)
-        if random.random() < REFUSAL_SHARE and not writer.is_closing():
-            self.write_refusal(request_id, random.choice(("overload", "nobody")), writer)
-            return
-        end_attempt(random.choice(ATTEMPT_FAULTS), request_id, writer)
-
-
 class SoakRun:
     """Everything of one run. `build`: a faulty build, "" for the program as it is."""
 
@@ -126,7 +69,8 @@
     # The world.
 
     async def _add_server(self, uid: str, kind: str, boot_ms: int = 0) -> RecordingServer:
-        server = RecordingServer(uid, kind, self.directory, self)
+        cell = len(self.servers) % CELLS
+        server = RecordingServer(uid, kind, cell, self.directory, self.truth, self.random)
         server.boot_ms = boot_ms
         self.servers.append(server)
         await server.start()
--- a/hoistplank/lab/scale/role_cache_host.py
+++ b/hoistplank/lab/scale/role_cache_host.py
@@ -28,8 +28,8 @@
 LOOK_S = 0.02
 
 
-class _Errand:
-    """An attempt that is never answered."""
+class _UnansweredRequest:
+    """A request that is never answered."""
 
     def __init__(self, number: int) -> None:
         self.id = f"held-{number}"
@@ -42,10 +42,10 @@
         return REQUEST
 
     def undelivered(self, proof: Undelivered) -> None:
-        """Its line is closed at the end of the measurement."""
+        """Does nothing: its connection is closed at the end of the measurement."""
 
     def failed(self, failure: RequestFailure) -> None:
-        """Its line is closed at the end of the measurement."""
+        """Does nothing: its connection is closed at the end of the measurement."""
 
 
 def _ignored(line: PooledConnection) -> Callable[[bytearray, int, int], int]:
@@ -63,7 +63,7 @@
     """Sends as many attempts to each host as it gets lines."""
     address = ("127.0.0.1", port)
     return [
-        pool.send(f"box-{host}", address, _Errand(host * MIN_CONNECTIONS_PER_HOST + number))
+        pool.send(f"box-{host}", address, _UnansweredRequest(host * MIN_CONNECTIONS_PER_HOST + number))
         for host in range(hosts)
         for number in range(MIN_CONNECTIONS_PER_HOST)
     ]
