A repeat that is not written whole within its window is taken back

What callers could see: the effect of a keyed request twice.

Cause: a repeat's first byte was checked against the window (start_by_us), its last was not. Behind blocked writes the rest went out when the host had forgotten the first attempt.

Now the connection is ended at start_by_us if a part only is written, which proves that the repeat never ran; the request is failed for its first attempt. Other requests on that connection, which took no bytes either, end with it.

--- a/hoistplank/routing/attempts.py
+++ b/hoistplank/routing/attempts.py
@@ -194,6 +194,15 @@
             proof = self.connection.cancel(self, drop, self.decided_at, undelivered)
         return AttemptEnd.of_undelivered(proof) if proof is not None else AttemptEnd(ending)
 
+    def take_back_if_partly_written(self) -> None:
+        """Ends its connection if the system has a part of it only; called at `start_by_us`, also if the
+        attempt has ended meanwhile.
+
+        The rest would arrive after the host has forgotten the first attempt, and would run again.
+        """
+        if self.transmission.is_partly_written and self.connection is not None:
+            self.connection.close()
+
     def report(self, end: AttemptEnd) -> None:
         """Reports its end to the router task; the first end counts."""
         if self.end is not None:
--- a/tests/test_refusals.py
+++ b/tests/test_refusals.py
@@ -159,17 +159,21 @@
 
 
 class HeldWrites:
-    """Has the system take some bytes of the first write to a cache host, and the rest after `release`."""
+    """Has the system take some bytes of the first write of a connection to a cache host, and the rest after
+    `release`. `number`: which connection, from 1."""
 
-    def __init__(self, monkeypatch: pytest.MonkeyPatch, taken_bytes: int = 10) -> None:
+    def __init__(self, monkeypatch: pytest.MonkeyPatch, taken_bytes: int = 10, number: int = 1) -> None:
         self.connection: Connection | None = None
-        self.taken_bytes = taken_bytes
+        self.taken_bytes, self.number = taken_bytes, number
+        self.seen: dict[Connection, None] = {}
         self._flush = Connection._flush
         monkeypatch.setattr(Connection, "_flush", lambda connection: self._flush_in_part(connection))
 
     def _flush_in_part(self, connection: Connection) -> None:
         is_to_host = connection.max_buffer_bytes == pooled_connection.MAX_BUFFER_BYTES
-        if not is_to_host or self.connection is not None:
+        if is_to_host:
+            self.seen.setdefault(connection)
+        if not is_to_host or self.connection is not None or len(self.seen) < self.number:
             self._flush(connection)
             return
         self.connection, sock = connection, connection.sock
@@ -180,6 +184,8 @@
 
     def release(self) -> None:
         assert self.connection is not None
+        if self.connection.is_closed:
+            return
         self.connection.loop.add_writer(self.connection.sock, self.connection._continue_write)
 
 
@@ -263,3 +269,37 @@
             assert (len(host.taken), status) == (1, 200)
 
     run_scene(scene())
+
+
+class ResettingHost:
+    """Resets the connection of each attempt that it has received whole."""
+
+    def __init__(self) -> None:
+        self.taken: list[str] = []
+
+    async def serve_connection(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        while line := (await reader.readline()).decode().split():
+            await reader.readexactly(int(line[3]) + 2)
+            self.taken.append(line[1])
+            end_attempt(AttemptFault.RESET, line[1], writer)
+
+
+def test_repeat_that_is_not_written_whole_within_its_window_is_taken_back(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Its first bytes are written in time, and its last would be after the host has forgotten the first
+    attempt."""
+
+    async def scene() -> None:
+        host: Any = ResettingHost()
+        settings = settings_of("deduplicated", give_up=3.0, dedup_window=0.5)
+        async with SteadyDispatcher(tmp_path, {"o": host}, **settings) as dispatcher:
+            writes = HeldWrites(monkeypatch, number=2)
+            dispatcher.client.send(1, "order", KEY, b"x" * 100)
+            await until(lambda: writes.connection is not None)
+            await asyncio.sleep(0.6)
+            writes.release()
+            _, status, _, _ = await asyncio.wait_for(dispatcher.client.read_answer(), 5)
+            assert (len(host.taken), status) == (1, 502)
+
+    run_scene(scene())
