The window of a repeat is checked before each further part of it is written

A timer may also fire after the socket was found writable, after a standstill.

Evidence: the new test drains the host while ten bytes of the repeat are written; the attempt times out, the window ends, the socket takes bytes again.

Why it works: the check stands where the bytes are handed to the system, in the message writer, and ends the connection in place of the write; no timer, no state of the pool is asked. The property test of transmissions draws the window's end, too: after it no byte is taken.

--- a/hoistplank/lab/scale/role_cache_host.py
+++ b/hoistplank/lab/scale/role_cache_host.py
@@ -38,6 +38,9 @@
     def may_begin(self) -> bool:
         return True
 
+    def may_continue(self) -> bool:
+        return True
+
     def encode(self) -> bytes:
         return REQUEST
 
--- a/hoistplank/routing/attempts.py
+++ b/hoistplank/routing/attempts.py
@@ -168,6 +168,13 @@
             return False
         return self.owner.permits(self.started_us, self)
 
+    def may_continue(self) -> bool:
+        """Returns whether the rest of it may still be written, also if it has ended.
+
+        After the window, the host has forgotten the first attempt and would run a repeat.
+        """
+        return not 0 < self.start_by_us < self.owner.clock.now()
+
     def encode(self) -> bytes:
         """Returns its message, with the time that its client has left when sending starts."""
         return self._encode_after(self.started_us - self.decided_us)
@@ -194,15 +201,6 @@
             proof = self.connection.cancel(self, drop, self.decided_at, undelivered)
         return AttemptEnd.of_undelivered(proof) if proof is not None else AttemptEnd(ending)
 
-    def take_back_if_partly_written(self) -> None:
-        """Ends its connection if the system has a part of it only; called at `start_by_us`, also if the
-        attempt has ended meanwhile.
-
-        The rest would arrive after the host has forgotten the first attempt, and would run again.
-        """
-        if self.transmission.is_partly_written and self.connection is not None:
-            self.connection.close()
-
     def report(self, end: AttemptEnd) -> None:
         """Reports its end to the router task; the first end counts."""
         if self.end is not None:
--- a/hoistplank/routing/router_task.py
+++ b/hoistplank/routing/router_task.py
@@ -319,9 +319,6 @@
         self.counts.attempts += 1
         loop = asyncio.get_running_loop()
         attempt.timer = loop.call_later(action.timeout_us / 1e6, self.submit, AttemptTimedOut(attempt))
-        if action.start_by_us:
-            left_us = max(0, action.start_by_us - now)
-            loop.call_later(left_us / 1e6, attempt.take_back_if_partly_written)
         registered = self.endpoints.by_host.get(action.host)
         if self.pool is not None and registered is not None:
             attempt.connection = self.pool.send(action.host, registered.address, attempt)
--- a/hoistplank/transport/message_writer.py
+++ b/hoistplank/transport/message_writer.py
@@ -31,6 +31,7 @@
     on_deferred: Callable[[], None] | None  # the kernel took no byte of it; `may_begin` will be called again
     encode: Callable[[], bytes] | None = None  # called after `may_begin`; returns the bytes to write
     on_partly_written: Callable[[], None] | None = None  # the kernel took the first bytes, and not the last
+    may_continue: Callable[[], bool] | None = None  # called before its rest; False: the connection is ended
 
     def with_encoded_data(self) -> OutgoingMessage:
         """Returns the message with the bytes that are to be written now."""
@@ -89,12 +90,13 @@
         on_deferred: Callable[[], None] | None = None,
         encode: Callable[[], bytes] | None = None,
         on_partly_written: Callable[[], None] | None = None,
+        may_continue: Callable[[], bool] | None = None,
     ) -> None:
         """Queues a message behind those sent before it; drops it if the connection is not open."""
         if self.state is not ConnectionState.OPEN:
             return
         self._unsent.append(
-            OutgoingMessage(data, may_begin, on_written, on_deferred, encode, on_partly_written)
+            OutgoingMessage(data, may_begin, on_written, on_deferred, encode, on_partly_written, may_continue)
         )
         self.unsent_bytes += len(data)
         if not (self._is_flush_scheduled or self._is_awaiting_writable):
@@ -184,6 +186,9 @@
         """Called when the socket is writable again: finishes the partial message, then writes the others."""
         if self._partial is not None:
             remaining, messages = self._partial
+            if not all(message.may_continue is None or message.may_continue() for message in messages):
+                self._end(None)
+                return
             try:
                 sent = self.sock.send(remaining)
             except (BlockingIOError, InterruptedError):
--- a/hoistplank/transport/pooled_connection.py
+++ b/hoistplank/transport/pooled_connection.py
@@ -85,6 +85,7 @@
             transmission.not_taken,
             request.encode,
             transmission.partly_taken,
+            request.may_continue,
         )
 
     def _withdraw(self, request: PooledRequest) -> None:
--- a/hoistplank/transport/pooled_request.py
+++ b/hoistplank/transport/pooled_request.py
@@ -30,6 +30,10 @@
     def encode(self) -> bytes:
         """Returns the bytes to write; called after `may_begin` has returned True."""
 
+    def may_continue(self) -> bool:
+        """Called before each further part of it is written, also if it has ended; on False its connection is
+        ended instead, so that it never arrives whole."""
+
     def undelivered(self, proof: Undelivered, /) -> None:
         """Called when the request has ended and never ran."""
 
--- a/hoistplank/transport/transmission.py
+++ b/hoistplank/transport/transmission.py
@@ -47,11 +47,6 @@
         """True if the system has all of the request."""
         return self.state is TransmissionState.WRITTEN
 
-    @property
-    def is_partly_written(self) -> bool:
-        """True if the system has a part of the request, and gets the rest while its connection stands."""
-        return self.state is TransmissionState.PARTLY_WRITTEN
-
     def begin(self) -> None:
         """The request is about to be handed to the system. Raises RuntimeError unless it waits for that."""
         if not self.may_begin:
--- a/tests/test_refusals.py
+++ b/tests/test_refusals.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from collections.abc import Callable
 from pathlib import Path
 from typing import Any
@@ -182,6 +183,10 @@
         connection.sock = sock
         connection.loop.remove_writer(sock)
 
+    @property
+    def is_closed(self) -> bool:
+        return self.connection is not None and self.connection.is_closed
+
     def release(self) -> None:
         assert self.connection is not None
         if self.connection.is_closed:
@@ -303,3 +308,26 @@
             assert (len(host.taken), status) == (1, 502)
 
     run_scene(scene())
+
+
+def test_repeat_of_a_timed_out_attempt_is_not_finished_after_its_window(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Its connection is closing gracefully when the window ends, and would write the rest."""
+
+    async def scene() -> None:
+        host: Any = ResettingHost()
+        settings = settings_of("deduplicated", dedup_window=0.55)
+        async with SteadyDispatcher(tmp_path, {"o": host}, **settings) as dispatcher:
+            writes = HeldWrites(monkeypatch, number=2)
+            began = time.monotonic()
+            dispatcher.client.send(1, "order", KEY | {"HTTP_X_DEADLINE_MS": str(DEADLINE_MS)}, b"x" * 100)
+            await until(lambda: writes.connection is not None)
+            dispatcher.service.router_task.pool.drain("o")
+            _, status, _, _ = await asyncio.wait_for(dispatcher.client.read_answer(), 5)
+            await until(lambda: time.monotonic() - began > 0.6)
+            writes.release()
+            await until(lambda: writes.is_closed or len(host.taken) > 1)
+            assert (len(host.taken), status) == (1, 502)
+
+    run_scene(scene())
--- a/tests/test_transmission.py
+++ b/tests/test_transmission.py
@@ -98,10 +98,14 @@
         self.id, self.message = f"{number:016x}", bytes([number]) * size
         self.transmission = Transmission()
         self.ends: list[str] = []
+        self.is_in_window = True
 
     def may_begin(self) -> bool:
         return True
 
+    def may_continue(self) -> bool:
+        return self.is_in_window
+
     def encode(self) -> bytes:
         return self.message
 
@@ -143,11 +147,12 @@
     script=st.lists(STEPS, max_size=8),
     cancelled=st.sets(st.integers(0, 5), max_size=3),
     cancel_after=st.integers(0, 4),
+    window_ends_after=st.integers(0, 12),
 )
 def test_end_of_each_request_agrees_with_the_bytes_that_the_system_took(
-    sizes: list[int], script: list[int | str], cancelled: set[int], cancel_after: int
+    sizes: list[int], script: list[int | str], cancelled: set[int], cancel_after: int, window_ends_after: int
 ) -> None:
-    """Short writes, failing calls and cancellations, in any order, with several messages in one call."""
+    """Short writes, failing calls, cancellations and a window's end, with several messages in one call."""
 
     async def scene() -> None:
         server = await asyncio.start_server(lambda *_: None, "127.0.0.1", 0)
@@ -165,9 +170,15 @@
             if step == cancel_after:
                 for number in sorted(cancelled & set(range(len(requests)))):
                     proofs[number] = pooled.cancel(requests[number], b"", 0.0, REASON)
+            for request in requests:
+                request.is_in_window = step < window_ends_after
             connection._flush()
             if connection._is_awaiting_writable:
+                is_partly_written = connection._partial is not None
+                taken = len(scripted.taken)
                 connection._continue_write()
+                if is_partly_written and step >= window_ends_after:
+                    assert len(scripted.taken) == taken and connection.is_closed
         connection.close()
         connection.sock = real
         await asyncio.gather(pooled.task, return_exceptions=True)
