A keyed request of which a part is written is not finished after its window

What callers could see: the effect of a keyed request twice. Its first attempt is written in part, its deadline passes, the client repeats it within the window and is served; the rest of the first goes out when hosts have forgotten the key.

Cause: the window bound the repeats of this dispatcher only (start_by_us); a first attempt had no bound, and its connection stays in use after a time-out where that was opened for it or anything was read on it since.

--- a/hoistplank/decision/actions.py
+++ b/hoistplank/decision/actions.py
@@ -17,7 +17,8 @@
     `source`: the host to fill from on a miss; the cache host itself if it must not fill, "" if no source is
     named. `max_age_us`: the maximum age of the copy, 0 for the fresh time of the traffic class. `join_fill`:
     the cache host may wait for a fill of the same object that is already running. `start_by_us`: the latest
-    time at which the attempt may begin, 0 for no bound.
+    time at which the attempt may begin, 0 for no bound. `write_within_us`: the longest time from its first
+    byte to its last, 0 for no bound.
     """
 
     request_id: str
@@ -29,6 +30,7 @@
     max_age_us: int
     join_fill: bool
     start_by_us: int = 0
+    write_within_us: int = 0
 
 
 class EndReason(StrEnum):
--- a/hoistplank/decision/retries.py
+++ b/hoistplank/decision/retries.py
@@ -13,6 +13,7 @@
     DEDUPLICATED_EVERYWHERE,
     DEDUPLICATED_IN_ZONE,
     IDEMPOTENT,
+    KEYED,
     NON_IDEMPOTENT,
     Degradation,
     RouterSettings,
@@ -104,6 +105,16 @@
             return 0
         return _window_end_us(request.traffic_class, first_run)
 
+    def write_within_us(self, request: Request) -> int:
+        """Returns the longest time from the first byte of an attempt to its last; 0 for no bound.
+
+        Its rest, if it arrived later, would run again after a repeat by the client or at another host.
+        """
+        traffic_class = request.traffic_class
+        if traffic_class.semantics != KEYED:
+            return 0
+        return max(1, traffic_class.deduplication_window_us - DEDUPLICATION_MARGIN_US)
+
     def fits_budget(self, now_us: int, request: Request) -> bool:
         """Returns True if a retry is within the budget of its class and of the host that failed last.
 
--- a/hoistplank/decision/router.py
+++ b/hoistplank/decision/router.py
@@ -286,6 +286,7 @@
                 max_age_us=self._max_age_us(now_us, request, planned),
                 join_fill=planned.joins_fill,
                 start_by_us=start_by_us,
+                write_within_us=self.parts.retries.write_within_us(request),
             )
         )
 
--- a/hoistplank/routing/attempts.py
+++ b/hoistplank/routing/attempts.py
@@ -139,6 +139,7 @@
         self.decided_us = now
         self._standstills = owner.standstills.count  # up to the decision
         self.start_by_us, self.max_age_us = action.start_by_us, action.max_age_us
+        self.write_within_us = action.write_within_us
         self.decided_at = asyncio.get_running_loop().time()
         self.connection: PooledConnection | None = None
         self.timer: asyncio.TimerHandle | None = None
@@ -171,9 +172,12 @@
     def may_continue(self) -> bool:
         """Returns whether the rest of it may still be written, also if it has ended.
 
-        After the window, the host has forgotten the first attempt and would run a repeat.
+        After the window, hosts have forgotten the request, and would run it again.
         """
-        return not 0 < self.start_by_us < self.owner.clock.now()
+        now = self.owner.clock.now()
+        if 0 < self.start_by_us < now:
+            return False
+        return not 0 < self.write_within_us < now - self.started_us
 
     def encode(self) -> bytes:
         """Returns its message, with the time that its client has left when sending starts."""
--- a/tests/test_effect_rule.py
+++ b/tests/test_effect_rule.py
@@ -87,6 +87,8 @@
         assert self.answer is None
         assert all(attempt.outcome is not None for attempt in self.attempts), "two attempts at once"
         first, semantics = self.first_run(), self.traffic_class.semantics
+        is_bound = 0 < action.write_within_us <= self.traffic_class.deduplication_window_us
+        assert is_bound if semantics == "keyed" else action.write_within_us == 0
         if first is None or semantics == "idempotent":
             return
         assert semantics == "keyed" and self.in_window(first, self.now)
--- a/tests/test_refusals.py
+++ b/tests/test_refusals.py
@@ -331,3 +331,24 @@
             assert (len(host.taken), status) == (1, 502)
 
     run_scene(scene())
+
+
+def test_keyed_request_is_not_finished_after_its_window(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Its client may have repeated it meanwhile, and that repeat is forgotten when the rest arrives."""
+
+    async def scene() -> None:
+        host: Any = HoldingHost()
+        settings = settings_of("deduplicated", dedup_window=0.3)
+        async with SteadyDispatcher(tmp_path, {"o": host}, **settings) as dispatcher:
+            writes = HeldWrites(monkeypatch)
+            began = time.monotonic()
+            dispatcher.client.send(1, "order", KEY | {"HTTP_X_DEADLINE_MS": str(DEADLINE_MS)}, b"x" * 100)
+            _, status, _, _ = await asyncio.wait_for(dispatcher.client.read_answer(), 5)
+            await until(lambda: time.monotonic() - began > 0.5)
+            writes.release()
+            await until(lambda: writes.is_closed or bool(host.taken))
+            assert (len(host.taken), status) == (0, 502)
+
+    run_scene(scene())
