--- a/tests/test_refusals.py
+++ b/tests/test_refusals.py
@@ -323,7 +323,9 @@
             began = time.monotonic()
             dispatcher.client.send(1, "order", KEY | {"HTTP_X_DEADLINE_MS": str(DEADLINE_MS)}, b"x" * 100)
             await until(lambda: writes.connection is not None)
-            dispatcher.service.router_task.pool.drain("o")
+            pool = dispatcher.service.router_task.pool
+            assert pool is not None
+            pool.drain("o")
             _, status, _, _ = await asyncio.wait_for(dispatcher.client.read_answer(), 5)
             await until(lambda: time.monotonic() - began > 0.6)
             writes.release()
