The proof that an attempt never ran counts for that attempt and that ending only

AttemptEnd took any answer or any proof as evidence of any ending: a 'crashed' answer, which may have run, would have let an attempt end as 'unwritten', and a proof of one attempt ended another. Now the ending has to be that of its evidence, and an attempt refuses a proof that is of another transmission.

--- a/hoistplank/routing/attempt_ending.py
+++ b/hoistplank/routing/attempt_ending.py
@@ -81,7 +81,7 @@
 class AttemptEnd:
     """The end of an attempt with its evidence: the host's answer, or the proof that it was not delivered.
 
-    Raises ValueError if the ending says that the attempt never ran and there is neither.
+    Raises ValueError if the ending says that the attempt never ran and is not the ending of that evidence.
     """
 
     ending: AttemptEnding
@@ -89,9 +89,14 @@
     proof: Undelivered | None = None
 
     def __post_init__(self) -> None:
-        if self.outcome in NEVER_RAN and self.answer is None and self.proof is None:
+        if self.outcome in NEVER_RAN and self._ending_of_evidence() is not self.ending:
             raise ValueError(f"an attempt can't end as '{self.ending}' without a proof")
 
+    def _ending_of_evidence(self) -> AttemptEnding | None:
+        if self.proof is not None:
+            return ENDING_OF_UNDELIVERED[self.proof.reason]
+        return ENDING_OF_STATUS.get(self.answer.status) if self.answer is not None else None
+
     @property
     def outcome(self) -> int:
         """The outcome that the decision logic is told."""
--- a/hoistplank/routing/attempts.py
+++ b/hoistplank/routing/attempts.py
@@ -206,9 +206,14 @@
         return AttemptEnd.of_undelivered(proof) if proof is not None else AttemptEnd(ending)
 
     def report(self, end: AttemptEnd) -> None:
-        """Reports its end to the router task; the first end counts."""
+        """Reports its end to the router task; the first end counts.
+
+        Raises ValueError for a proof that is of another attempt.
+        """
         if self.end is not None:
             return
+        if end.proof is not None and end.proof.transmission is not self.transmission:
+            raise ValueError(f"the proof that attempt {self.number} of {self.id} never ran is of another")
         self.end = end
         self.ended_us = self.owner.clock.now()
         self.owner.submit(AttemptEnded(self, end))
--- a/tests/test_transmission.py
+++ b/tests/test_transmission.py
@@ -5,14 +5,24 @@
 import asyncio
 import errno
 import os
+from types import SimpleNamespace
 from typing import Any
 
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from hoistplank.decision.actions import SendAttempt
 from hoistplank.decision.retries import NEVER_RAN
-from hoistplank.routing.attempt_ending import OUTCOMES, AttemptEnd, AttemptEnding
+from hoistplank.protocol.cachewire import Answer
+from hoistplank.routing.attempt_ending import (
+    ENDING_OF_STATUS,
+    ENDING_OF_UNDELIVERED,
+    OUTCOMES,
+    AttemptEnd,
+    AttemptEnding,
+)
+from hoistplank.routing.attempts import Attempt
 from hoistplank.transport.pooled_connection import PooledConnection
 from hoistplank.transport.pooled_request import RequestFailure
 from hoistplank.transport.transmission import (
@@ -71,6 +81,33 @@
         assert AttemptEnd(ending).outcome == OUTCOMES[ending]
 
 
+@pytest.mark.parametrize("ending", [ending for ending in AttemptEnding if OUTCOMES[ending] in NEVER_RAN])
+def test_attempt_does_not_end_as_never_run_by_evidence_of_another_end(ending: AttemptEnding) -> None:
+    for status, ending_of_answer in ENDING_OF_STATUS.items():
+        if ending_of_answer is not ending:
+            with pytest.raises(ValueError, match="without a proof"):
+                AttemptEnd(ending, answer=Answer("1", status, {}, b""))
+    for reason, ending_of_proof in ENDING_OF_UNDELIVERED.items():
+        if ending_of_proof is not ending:
+            with pytest.raises(ValueError, match="without a proof"):
+                AttemptEnd(ending, proof=Transmission().withdraw(reason))
+
+
+def test_proof_of_one_attempt_does_not_end_another() -> None:
+    async def scene() -> None:
+        owner: Any = SimpleNamespace(standstills=SimpleNamespace(count=0))
+        request: Any = SimpleNamespace(id="1")
+        action = SendAttempt("1", 0, "c", "", 1_000_000, 0, 0, join_fill=False)
+        attempt = Attempt(owner, request, action, 0, lambda waited_us: b"")
+        proof = Transmission().withdraw(REASON)
+        assert proof is not None
+        with pytest.raises(ValueError, match="is of another"):
+            attempt.undelivered(proof)
+        assert attempt.end is None
+
+    run_scene(scene())
+
+
 class ScriptedSocket:
     """A socket whose `send` takes as many bytes as its script says, or raises; then it would block."""
 
