--- a/hoistplank/transport/message_writer.py
+++ b/hoistplank/transport/message_writer.py
@@ -25,10 +25,10 @@
 class OutgoingMessage(NamedTuple):
     """A message that waits to be written, with its callbacks."""
 
-    data: bytes
-    may_begin: Callable[[], bool] | None  # called just before the first byte; False: the message is dropped
-    on_written: Callable[[], None] | None  # called once the kernel has taken the last byte
-    on_deferred: Callable[[], None] | None  # the kernel took no byte of it; `may_begin` will be called again
+    data: bytes = b""
+    may_begin: Callable[[], bool] | None = None  # called just before the first byte; False: it is dropped
+    on_written: Callable[[], None] | None = None  # called once the kernel has taken the last byte
+    on_deferred: Callable[[], None] | None = None  # the kernel took no byte; `may_begin` will be called again
     encode: Callable[[], bytes] | None = None  # called after `may_begin`; returns the bytes to write
     on_partly_written: Callable[[], None] | None = None  # the kernel took the first bytes, and not the last
     may_continue: Callable[[], bool] | None = None  # called before its rest; False: the connection is ended
@@ -88,17 +88,16 @@
         may_begin: Callable[[], bool] | None = None,
         on_written: Callable[[], None] | None = None,
         on_deferred: Callable[[], None] | None = None,
-        encode: Callable[[], bytes] | None = None,
-        on_partly_written: Callable[[], None] | None = None,
-        may_continue: Callable[[], bool] | None = None,
     ) -> None:
+        """Queues a message of these bytes; see `send_message`."""
+        self.send_message(OutgoingMessage(data, may_begin, on_written, on_deferred))
+
+    def send_message(self, message: OutgoingMessage) -> None:
         """Queues a message behind those sent before it; drops it if the connection is not open."""
         if self.state is not ConnectionState.OPEN:
             return
-        self._unsent.append(
-            OutgoingMessage(data, may_begin, on_written, on_deferred, encode, on_partly_written, may_continue)
-        )
-        self.unsent_bytes += len(data)
+        self._unsent.append(message)
+        self.unsent_bytes += len(message.data)
         if not (self._is_flush_scheduled or self._is_awaiting_writable):
             self._is_flush_scheduled = True
             self.loop.call_soon(self._flush)
--- a/hoistplank/transport/pooled_connection.py
+++ b/hoistplank/transport/pooled_connection.py
@@ -7,6 +7,7 @@
 
 from hoistplank.transport.connecting import connect_socket, open_tcp_socket
 from hoistplank.transport.connection import Connection, Consume
+from hoistplank.transport.message_writer import OutgoingMessage
 from hoistplank.transport.pooled_request import PooledRequest, RequestFailure
 from hoistplank.transport.transmission import Undelivered, UndeliveredReason
 
@@ -78,15 +79,15 @@
             transmission.begin()
             return True
 
-        connection.send(
-            b"",
-            may_begin,
-            transmission.taken,
-            transmission.not_taken,
-            request.encode,
-            transmission.partly_taken,
-            request.may_continue,
+        message = OutgoingMessage(
+            may_begin=may_begin,
+            encode=request.encode,
+            may_continue=request.may_continue,
+            on_written=transmission.taken,
+            on_deferred=transmission.not_taken,
+            on_partly_written=transmission.partly_taken,
         )
+        connection.send_message(message)
 
     def _withdraw(self, request: PooledRequest) -> None:
         """Ends a request that may not begin."""
