A shutdown that was asked for during a standstill counts from the standstill's start

What callers saw: requests without an answer. A process that stands still (SIGSTOP, no processor time) when SIGTERM is sent reads it late, and SIGKILL came before its own limits were over.

Cause: GracefulShutdown counted from when it read the signal.

Why it works: how long the process stood still is known; the limits for the last answer, the last byte and the end count from the start of a standstill that has just ended. New connections are still accepted for as long after the signal is read as before.

--- a/hoistplank/program/graceful_shutdown.py
+++ b/hoistplank/program/graceful_shutdown.py
@@ -24,7 +24,8 @@
 class GracefulShutdown:
     """Answers the open requests, then closes the connections in order, within fixed time limits.
 
-    `deadline_s` is the longest deadline of the traffic classes.
+    `deadline_s` is the longest deadline of the traffic classes. New connections are accepted for
+    ACCEPT_WINDOW_S after the signal is read; the other limits count from when it may have been sent.
     """
 
     def __init__(
@@ -39,23 +40,31 @@
     async def run(self) -> None:
         """Returns once nothing is open, or after `end_s`."""
         loop = asyncio.get_running_loop()
-        started_at = loop.time()
-        self.router_task.submit(DrainStarted(self.router_task.clock.now() + int(self.last_answer_s * 1e6)))
+        noticed_at = loop.time()
+        started_at = self._earliest_signal_at(noticed_at)
+        last_answer_in_s = self.last_answer_s - (noticed_at - started_at)
+        self.router_task.submit(DrainStarted(self.router_task.clock.now() + int(last_answer_in_s * 1e6)))
         is_overdue = is_closing = False
         while loop.time() < started_at + self.end_s:
             if is_closing and self.is_empty() and not self.frontend.sessions:
                 return
             await asyncio.sleep(CHECK_INTERVAL_S)
-            elapsed_s = loop.time() - started_at
-            if not is_overdue and elapsed_s > self.last_answer_s:
+            now = loop.time()
+            if not is_overdue and now - started_at > self.last_answer_s:
                 is_overdue = True
                 self.router_task.submit(DrainDeadlineReached())
-            if not is_closing and self._may_close(elapsed_s):
+            is_accept_window_over = now - noticed_at > ACCEPT_WINDOW_S
+            if not is_closing and (
+                now - started_at > self.last_byte_s or (is_accept_window_over and self.is_empty())
+            ):
                 is_closing = True
                 await self._close_connections()
 
-    def _may_close(self, elapsed_s: float) -> bool:
-        return elapsed_s > self.last_byte_s or (elapsed_s > ACCEPT_WINDOW_S and self.is_empty())
+    def _earliest_signal_at(self, noticed_at: float) -> float:
+        """Returns the earliest time at which a signal that is read now may have been sent: the process does
+        not read it during a standstill, and the time until SIGKILL goes on."""
+        standstills = self.router_task.standstills
+        return standstills.last_began_at if standstills.is_recovering() else noticed_at
 
     async def _close_connections(self) -> None:
         """Stops accepting, and closes each connection once its requests are answered.
--- a/tests/test_standstill.py
+++ b/tests/test_standstill.py
@@ -7,17 +7,22 @@
 import socket
 import time
 from pathlib import Path
+from random import Random
+from typing import Any
 
 from hoistplank.fakes.deployment import Deployment
+from hoistplank.fakes.failing_cache_host import AttemptFault, FailingCacheServer
 from hoistplank.fakes.wire import FastCgiClient, ScriptedCacheHost
 from hoistplank.routing.events import EndpointWatchStage, EndpointWatchStageChanged
 from tests.dispatcher_scene import KEY, SteadyDispatcher, request_bytes
 from tests.dispatcher_scene import served as answer_at_once
 from tests.helpers import until
+from tests.refusal_rig import traffic_class
 from tests.scene_runner import run_scene
 from tests.test_unconfirmed_list import Requests, sent_to
 
 STOPPED_S = 0.6
+KILLED_AFTER_S = 3.7  # from SIGTERM, by the protocol's page
 LARGE_REQUESTS, LARGE_BODY_BYTES = 8, 5_000  # more than fits in one read
 PURGES = 3_000  # before the drain in the log: far more than fit in one read
 
@@ -145,3 +150,38 @@
             return
         await asyncio.sleep(0.05)
     raise AssertionError("none of 20 requests was served")
+
+
+def test_shutdown_that_is_asked_during_a_standstill_ends_before_the_kill(tmp_path: Path) -> None:
+    """The signal is read late, and SIGKILL is not."""
+
+    async def scene() -> None:
+        settings: dict[str, Any] = {
+            "classes": [traffic_class("at_most_once") | {"give_up": 3.0}],
+            "family_info.uncached": [True],
+        }
+        deployment = Deployment(tmp_path, **settings)
+        origin = FailingCacheServer(
+            "origin-0", "origin", deployment.directory, (AttemptFault.SILENCE,), (0.0, 0.0), Random(1)
+        )
+        deployment.servers[-1] = deployment.origin = origin
+        async with deployment:
+            process = deployment.process
+            assert process is not None
+            fields = KEY | {"HTTP_X_DEADLINE_MS": "3000"}
+            client = await deployment.client()
+            client.send(1, "order", fields, b"x" * 100)
+            await until(lambda: len(origin.taken) == 1)
+            process.send_signal(signal.SIGSTOP)
+            await asyncio.sleep(0.4)
+            process.send_signal(signal.SIGTERM)
+            asked_at = time.monotonic()
+            await resume_after(deployment, 0.8)
+            await asyncio.sleep(0.2)
+            client.send(2, "order", fields, b"x" * 100)
+            statuses = [(await asyncio.wait_for(client.read_answer(), 5))[1] for _ in range(2)]
+            await asyncio.wait_for(process.wait(), 5)
+            assert statuses == [502, 502] and process.returncode == 0
+            assert time.monotonic() - asked_at < KILLED_AFTER_S
+
+    run_scene(scene())
