A late report of the message writer can't revive a transmission that is void

Only begin checked the state it came from; taken, partly_taken and not_taken set theirs from any, so that a report after the end would have made a proof that is already handed out untrue. Each step now names the states it may follow, and raises from others.

Measured: the new test walks each report from each state; those from states that a report can't follow fail without the change.

--- a/hoistplank/transport/transmission.py
+++ b/hoistplank/transport/transmission.py
@@ -29,7 +29,8 @@
     """The transmission of one request over one connection; it outlives both.
 
     The message writer reports each step: `begin` before the request is handed to the system, and what the
-    system has taken after that. Only `withdraw` and `connection_ended` prove that a request never ran.
+    system has taken after that. A step that can't follow raises RuntimeError: no step leads out of `VOID` or
+    `WRITTEN`. Only `withdraw` and `connection_ended` prove that a request never ran.
     """
 
     __slots__ = ("state",)
@@ -48,22 +49,25 @@
         return self.state is TransmissionState.WRITTEN
 
     def begin(self) -> None:
-        """The request is about to be handed to the system. Raises RuntimeError unless it waits for that."""
-        if not self.may_begin:
-            raise RuntimeError(f"a transmission that is {self.state} can't begin")
-        self.state = TransmissionState.SENDING
+        """The request is about to be handed to the system."""
+        self._advance(TransmissionState.SENDING, TransmissionState.WAITING)
 
     def not_taken(self) -> None:
         """The system has taken no byte of it: it waits to be handed over again."""
-        self.state = TransmissionState.WAITING
+        self._advance(TransmissionState.WAITING, TransmissionState.SENDING)
 
     def partly_taken(self) -> None:
         """The system has taken a part of it; the rest follows while the connection stands."""
-        self.state = TransmissionState.PARTLY_WRITTEN
+        self._advance(TransmissionState.PARTLY_WRITTEN, TransmissionState.SENDING)
 
     def taken(self) -> None:
         """The system has taken all of it."""
-        self.state = TransmissionState.WRITTEN
+        self._advance(TransmissionState.WRITTEN, TransmissionState.SENDING, TransmissionState.PARTLY_WRITTEN)
+
+    def _advance(self, state: TransmissionState, *allowed: TransmissionState) -> None:
+        if self.state not in allowed:
+            raise RuntimeError(f"a transmission that is {self.state} can't become {state}")
+        self.state = state
 
     def withdraw(self, reason: UndeliveredReason) -> Undelivered | None:
         """Prevents that it begins, and returns the proof; None if it has begun and may run.
--- a/tests/test_transmission.py
+++ b/tests/test_transmission.py
@@ -60,10 +60,30 @@
     "state", [state for state in TransmissionState if state is not TransmissionState.WAITING]
 )
 def test_transmission_begins_once_and_never_after_a_proof(state: TransmissionState) -> None:
-    with pytest.raises(RuntimeError, match="can't begin"):
+    with pytest.raises(RuntimeError, match="can't become sending"):
         transmission_in(state).begin()
 
 
+STEPS_FROM = {
+    "not_taken": {TransmissionState.SENDING},
+    "partly_taken": {TransmissionState.SENDING},
+    "taken": {TransmissionState.SENDING, TransmissionState.PARTLY_WRITTEN},
+}
+
+
+@pytest.mark.parametrize("state", TransmissionState)
+@pytest.mark.parametrize("step", STEPS_FROM)
+def test_report_of_the_writer_that_comes_late_changes_no_proof(step: str, state: TransmissionState) -> None:
+    transmission = transmission_in(state)
+    report = getattr(transmission, step)
+    if state in STEPS_FROM[step]:
+        report()
+        return
+    with pytest.raises(RuntimeError, match="can't become"):
+        report()
+    assert transmission.state is state
+
+
 @pytest.mark.parametrize(
     "state", [state for state in TransmissionState if state is not TransmissionState.VOID]
 )
