--- a/hoistplank/routing/attempts.py
+++ b/hoistplank/routing/attempts.py
@@ -226,6 +226,11 @@
             self.timer = None  # the timer refers back to the attempt: breaks the reference cycle
         self.request.attempts.pop(self.number, None)
 
+    def describe(self, now: int) -> str:
+        """Returns what the log says of the attempt, which is in flight."""
+        age_ms = (now - self.decided_us) // 1_000
+        return f"{self.number} at {self.host}: in flight, {self.transmission.state}, {age_ms} ms"
+
     def record(self, now: int, ending: AttemptEnding) -> AttemptRecord:
         """Returns what the log says of the attempt, which has ended with `ending`."""
         age_us = (self.ended_us or now) - self.decided_us
--- a/hoistplank/routing/router_task.py
+++ b/hoistplank/routing/router_task.py
@@ -305,6 +305,7 @@
             self._close(request)
             self.counts.failed += 1
             request.response.fail()
+            self.request_log.failed_by_shutdown(request)
             self.router.handle(now, decision_events.ClientDisconnected(request.id))
 
     def _on_checkpoint(self, _now: int, event: Checkpoint) -> None:
@@ -315,6 +316,8 @@
     def _send_attempt(self, now: int, action: SendAttempt) -> None:
         request = self.requests.by_id[action.request_id]
         attempt = Attempt(self, request, action, now, partial(attempt_message, request, action))
+        if request.unsuccessful:
+            self.request_log.sent_again(request, attempt)
         request.attempts[attempt.number] = attempt
         self.counts.attempts += 1
         loop = asyncio.get_running_loop()
