The soak's signals do not end a dispatcher that is ending, and its plans are read whole

Two faults of the rig, none of the dispatcher.

Cause: at its end the interpreter restores the default of SIGUSR1, by which the rig has a plan of failing calls read again; the plan retires dispatcher 2 at 2.94 s, it ends some 3.25 s later, and a new plan comes at 6.20 s.

--- a/hoistplank/fakes/faulty_system.py
+++ b/hoistplank/fakes/faulty_system.py
@@ -35,6 +35,12 @@
     max_io_bytes: int = 0
     failures: dict[str, list[str]] = {}
 
+    def write(self, path: Path) -> None:
+        """Writes the plan to its file, as a whole: a process may read the file at any moment."""
+        written = path.with_name(path.name + ".new")
+        written.write_bytes(msgspec.json.encode(self))
+        written.replace(path)
+
 
 class FaultySystem:
     """Replacements of system calls, which fail as planned."""
@@ -81,7 +87,11 @@
     FaultySystem(Path(os.environ[PLAN_VARIABLE])).install()
     from hoistplank.__main__ import main as run_dispatcher
 
-    return run_dispatcher()
+    try:
+        return run_dispatcher()
+    finally:
+        # At its end the interpreter restores the default of handled signals, which would end the process.
+        signal.signal(signal.SIGUSR1, signal.SIG_IGN)
 
 
 if __name__ == "__main__":
--- a/hoistplank/lab/fleet/soak/dispatcher.py
+++ b/hoistplank/lab/fleet/soak/dispatcher.py
@@ -12,8 +12,6 @@
 from random import Random
 from typing import Any
 
-import msgspec
-
 from hoistplank.fakes.deployment import deployment_settings, dispatcher_environment, free_port
 from hoistplank.fakes.fault_proxy import FaultProxy
 from hoistplank.fakes.faulty_system import PLAN_VARIABLE, FaultPlan
@@ -114,7 +112,7 @@
             "known": self.known,
         }
         (self.folder / f"dispatcher-{self.number}.json").write_text(json.dumps(configuration))
-        self.plan_file.write_bytes(msgspec.json.encode(self.plan))
+        self.plan.write(self.plan_file)
 
     def _settings(self) -> dict[str, Any]:
         changes: dict[str, Any] = {
@@ -177,7 +175,7 @@
     def set_plan(self, plan: FaultPlan) -> None:
         """Has calls of the process fail, or steps its clock."""
         self.plan = plan
-        self.plan_file.write_bytes(msgspec.json.encode(plan))
+        plan.write(self.plan_file)
         if self.is_ready:
             self.send_signal(signal.SIGUSR1)
 
--- a/tests/test_system_failures.py
+++ b/tests/test_system_failures.py
@@ -8,7 +8,6 @@
 from collections.abc import AsyncIterator
 from pathlib import Path
 
-import msgspec
 import pytest
 
 from hoistplank.fakes.deployment import Deployment
@@ -29,7 +28,7 @@
 
     def plan(self, plan: FaultPlan) -> None:
         """Writes the plan; a running dispatcher applies it at once."""
-        self.plan_file.write_bytes(msgspec.json.encode(plan))
+        plan.write(self.plan_file)
         if self.process is not None:
             self.process.send_signal(signal.SIGUSR1)
 
@@ -112,3 +111,19 @@
             assert await ask(await deployment.client(), 1) == 200
 
     run_scene(scene())
+
+
+def test_new_plan_does_not_end_a_process_that_is_ending(tmp_path: Path) -> None:
+    """Its interpreter restores the default of SIGUSR1, which the soak took for a crash of the dispatcher."""
+
+    async def scene() -> None:
+        async with faulty_deployment(tmp_path) as deployment:
+            process = deployment.process
+            assert process is not None
+            process.send_signal(signal.SIGTERM)
+            while process.returncode is None:
+                deployment.plan(FaultPlan())
+                await asyncio.sleep(0.001)
+            assert process.returncode == 0
+
+    run_scene(scene())
