--- a/hoistplank/lab/fleet/soak/classes.py
+++ b/hoistplank/lab/fleet/soak/classes.py
@@ -48,7 +48,7 @@
         }
 
 
-PAGE = SoakClass("page", "idempotent", "all", 0.0, PAGE_DEADLINE_S, True, 0.4)
+PAGE = SoakClass("page", "idempotent", "all", 0.0, PAGE_DEADLINE_S, True, 0.3)
 BOOKING = SoakClass("booking", "deduplicated", "all", BOOKING_WINDOW_S, BOOKING_DEADLINE_S, False, 0.1)
 
 
@@ -64,7 +64,7 @@
     return (
         PAGE,
         BOOKING,
-        drawn("order", "at_most_once", "all", 0.2, is_cached=False),
+        drawn("order", "at_most_once", "all", 0.3, is_cached=False),
         drawn("ticket", "at_most_once", "all", 0.1, is_cached=True),
         drawn("payment", "deduplicated", "all", 0.1, is_cached=False),
         drawn("zone-vote", "deduplicated", "zone", 0.05, is_cached=True),
--- a/hoistplank/lab/fleet/soak/plan.py
+++ b/hoistplank/lab/fleet/soak/plan.py
@@ -17,7 +17,7 @@
 LEAST_PURGES = 8
 LEAST_FAILING_HOSTS, MOST_FAILING_HOSTS = 3, 5
 ORIGIN_TARGET = 0  # the number of the origin among the hosts
-FAILING_HOST_S, FAILING_SHARE = (2.0, 4.5), (0.4, 0.95)
+FAILING_HOST_S, FAILING_SHARE = (3.0, 5.5), (0.4, 0.95)
 SHORT_IO_SHARE = 0.4
 # A log that was asked owes its answer within 3 s: silence that is longer is an outage, of which a refused
 # connection is the form that dispatchers can tell at once.
--- a/hoistplank/lab/fleet/soak/server.py
+++ b/hoistplank/lab/fleet/soak/server.py
@@ -15,9 +15,17 @@
 from hoistplank.lab.fleet.soak.truth import Truth
 
 WORK_S = 0.01
-NEAR_BUDGET_S = (-0.0025, 0.0005)  # when most faults of attempts come, from the end of the budget
+NEAR_BUDGET_S = (-0.002, 0.0005)  # when most faults of attempts come, from the end of the budget
 EARLY_FAULT_SHARE, REFUSAL_SHARE = 0.2, 0.1
-ATTEMPT_FAULTS: tuple[AttemptFault, ...] = tuple(AttemptFault)
+# The faults of attempts by weight: an end is more telling than silence.
+ATTEMPT_FAULTS = {
+    AttemptFault.RESET: 2,
+    AttemptFault.HALF_ANSWER: 2,
+    AttemptFault.ERROR: 2,
+    AttemptFault.ANSWER: 2,
+    AttemptFault.STALL: 1,
+    AttemptFault.SILENCE: 1,
+}
 
 
 class RecordingServer(FakeCacheServer):
@@ -69,4 +77,5 @@
         if self.random.random() < REFUSAL_SHARE and not writer.is_closing():
             self.write_refusal(request_id, self.random.choice(("overload", "nobody")), writer)
             return
-        end_attempt(self.random.choice(ATTEMPT_FAULTS), request_id, writer)
+        fault = self.random.choices(list(ATTEMPT_FAULTS), list(ATTEMPT_FAULTS.values()))[0]
+        end_attempt(fault, request_id, writer)
