--- a/hoistplank/routing/request_counts.py
+++ b/hoistplank/routing/request_counts.py
@@ -5,7 +5,7 @@
 from collections import Counter
 from dataclasses import dataclass, field
 
-from hoistplank.decision.actions import EndReason, RejectionBasis
+from hoistplank.decision.actions import EndReason, Fail, Reject, RejectionBasis
 from hoistplank.routing.attempt_ending import AttemptEnding
 
 
@@ -25,6 +25,17 @@
     crossed_by_ending: Counter[AttemptEnding] = field(default_factory=Counter)
     rejected_by_basis: Counter[RejectionBasis] = field(default_factory=Counter)
 
+    def count_rejection(self, action: Reject) -> None:
+        """Counts a request that the Router has rejected."""
+        self.rejected += 1
+        self.unsuccessful_by_reason[action.reason] += 1
+        self.rejected_by_basis[action.basis] += 1
+
+    def count_failure(self, action: Fail) -> None:
+        """Counts a request that the Router has failed."""
+        self.failed += 1
+        self.unsuccessful_by_reason[action.reason] += 1
+
     def log_fields(self) -> dict[str, int]:
         """Returns the counts under the field names of the log line `phase`."""
         return {
--- a/hoistplank/routing/request_log.py
+++ b/hoistplank/routing/request_log.py
@@ -70,7 +70,7 @@
         self._log_end(request, "failed", SHUTTING_DOWN)
 
     def sent_again(self, request: Request, attempt: Attempt) -> None:
-        """Logs a further attempt, how those before it ended, and why it may be made."""
+        """Logs an attempt after others, how those ended, and why it may be made; not a first attempt."""
         if not self._is_logged(request):
             return
         now = self._clock.now()
--- a/hoistplank/routing/router_task.py
+++ b/hoistplank/routing/router_task.py
@@ -316,8 +316,7 @@
     def _send_attempt(self, now: int, action: SendAttempt) -> None:
         request = self.requests.by_id[action.request_id]
         attempt = Attempt(self, request, action, now, partial(attempt_message, request, action))
-        if request.unsuccessful:
-            self.request_log.sent_again(request, attempt)
+        self.request_log.sent_again(request, attempt)
         request.attempts[attempt.number] = attempt
         self.counts.attempts += 1
         loop = asyncio.get_running_loop()
@@ -331,17 +330,14 @@
     def _reject(self, _now: int, action: Reject) -> None:
         request = self.requests.by_id[action.request_id]
         self._close(request)
-        self.counts.rejected += 1
-        self.counts.unsuccessful_by_reason[action.reason] += 1
-        self.counts.rejected_by_basis[action.basis] += 1
+        self.counts.count_rejection(action)
         request.response.reject(action.retry_after_us)
         self.request_log.given_up(request, action)
 
     def _fail(self, _now: int, action: Fail) -> None:
         request = self.requests.by_id[action.request_id]
         self._close(request)
-        self.counts.failed += 1
-        self.counts.unsuccessful_by_reason[action.reason] += 1
+        self.counts.count_failure(action)
         request.response.fail()
         self.request_log.given_up(request, action)
 
