A request that fills a read counts from its own arrival after a standstill

What callers could see: answers after their time. A cache host was given 613 ms for a request whose client had left 0.5 s before.

Cause: after a standstill a request that is the last in its read counts from the last arrival that the system reports, and behind that read more may lie in the socket, so the last arrival is another request's. Without short reads it takes a request that ends where the buffer does.

Why it works: the system is asked whether it holds more (FIONREAD); if so, the request counts from the standstill's start or from when the socket was last empty, as those before it in the read do. Asked only within 0.25 s of a standstill.

--- a/hoistplank/routing/client_session.py
+++ b/hoistplank/routing/client_session.py
@@ -176,7 +176,9 @@
         if not standstills.is_recovering():
             return 0
         if is_last:
-            return self.connection.last_arrival_age_us()
+            last_arrival_age_us = self.connection.last_arrival_age_us()
+            if not self.connection.has_unread_input():
+                return last_arrival_age_us
         unread_since = max(standstills.last_began_at, self.connection.drained_at)
         return int((asyncio.get_running_loop().time() - unread_since) * 1e6)
 
--- a/hoistplank/transport/connection.py
+++ b/hoistplank/transport/connection.py
@@ -4,8 +4,10 @@
 
 import asyncio
 import contextlib
+import fcntl
 import socket
 import sys
+import termios
 from collections.abc import Callable
 
 from hoistplank.transport.errors import MessageTooLongError
@@ -15,6 +17,7 @@
 # precede it.
 LAST_DATA_RECEIVED_OFFSET = 8 + 11 * 4
 TCP_INFO_BYTES = LAST_DATA_RECEIVED_OFFSET + 4
+FIONREAD_BYTES = 4  # the size of the integer that FIONREAD of tcp(7) writes
 INITIAL_BUFFER_BYTES = 8_192  # fits most requests and answer lines
 # How long a connection whose write side is shut waits for the peer to close. Data that crosses the close is
 # in transit for 50 ms at most, and the peer's own close arrives a round trip later.
@@ -131,6 +134,14 @@
             return 0
         return int.from_bytes(info[LAST_DATA_RECEIVED_OFFSET:TCP_INFO_BYTES], sys.byteorder) * 1_000
 
+    def has_unread_input(self) -> bool:
+        """Returns whether the kernel holds input that is not read yet; False if it does not report that."""
+        try:
+            unread = fcntl.ioctl(self.sock, termios.FIONREAD, bytes(FIONREAD_BYTES))
+        except OSError:
+            return False
+        return int.from_bytes(unread, sys.byteorder) > 0
+
     def pause_reading(self, seconds: float) -> None:
         """Pauses reading, so that what arrives meanwhile is read at once and answered in one write."""
         if not self._reading_paused and not self.is_closed:
--- a/tests/test_standstill.py
+++ b/tests/test_standstill.py
@@ -14,6 +14,7 @@
 from hoistplank.fakes.failing_cache_host import AttemptFault, FailingCacheServer
 from hoistplank.fakes.wire import FastCgiClient, ScriptedCacheHost
 from hoistplank.routing.events import EndpointWatchStage, EndpointWatchStageChanged
+from hoistplank.transport.connection import INITIAL_BUFFER_BYTES
 from tests.dispatcher_scene import KEY, SteadyDispatcher, request_bytes
 from tests.dispatcher_scene import served as answer_at_once
 from tests.helpers import until
@@ -141,6 +142,36 @@
     run_scene(scene())
 
 
+def request_of_size(number: int, size: int) -> bytes:
+    """Returns the bytes of a request, which are so many."""
+    fields = {"HTTP_X_OPERATION_KEY": f"{number:032x}"}
+    bodies = (bytes(length) for length in range(size))
+    requests = (request_bytes(number, "booking", fields, body) for body in bodies)
+    return next(request for request in requests if len(request) == size)
+
+
+def test_attempt_budget_excludes_the_unread_time_of_a_request_that_fills_a_read(tmp_path: Path) -> None:
+    """It is the last in its read, and not the last that has arrived: the latest arrival is another's."""
+
+    async def scene() -> None:
+        cache, origin = ScriptedCacheHost(answer_at_once), ScriptedCacheHost(answer_at_once)
+        async with SteadyDispatcher(tmp_path, {"a": cache, "o": origin}) as dispatcher:
+            loop, client = asyncio.get_running_loop(), socket.socket()
+            client.connect(dispatcher.service.listener.sock.getsockname())
+            requests = [request_of_size(number, INITIAL_BUFFER_BYTES) for number in (1, 2)]
+            sent_at = loop.time()
+            for request in requests:
+                client.sendall(request)
+                time.sleep(STOPPED_S / 2)  # noqa: ASYNC251  blocks the loop
+            await until(lambda: len(origin.requests) == 2)
+            left_ms = 1_500 - (loop.time() - sent_at) * 1e3
+            budgets = {request_id: int(fields["budget"]) for request_id, fields, _ in origin.requests}
+            assert budgets[f"{1:016x}"] <= left_ms + 50
+            client.close()
+
+    run_scene(scene())
+
+
 async def send_until_served(client: FastCgiClient, number: int) -> None:
     """Sends a request until it is served: the dispatcher rejects some right after a standstill."""
     for repeat in range(20):
