--- a/hoistplank/routing/client_session.py
+++ b/hoistplank/routing/client_session.py
@@ -16,6 +16,7 @@
 from hoistplank.routing.request_intake import RequestIntake, is_health_check
 from hoistplank.routing.response import FastCgiResponse
 from hoistplank.routing.router_task import RouterTask
+from hoistplank.routing.standstill import unread_for_us
 from hoistplank.routing.unfinished_requests import UnfinishedRequests
 from hoistplank.transport.connection import Connection, Consume
 from hoistplank.transport.descriptor_budget import ConnectionKind, DescriptorBudget
@@ -145,7 +146,9 @@
                 self.misuse_throttle.record_valid_request()
                 self.intake.answer_health_check(response)
                 return
-            request = self.intake.parse(response, fields, received, self._unread_for_us(is_last=is_last))
+            standstills = self.frontend.router_task.standstills
+            unread_us = unread_for_us(standstills, self.connection, is_last=is_last)
+            request = self.intake.parse(response, fields, received, unread_us)
         except ProtocolError as error:
             self._reject_invalid_request(received, response, str(error))
             return
@@ -166,22 +169,6 @@
         else:
             self.frontend.router_task.submit(RequestArrived(request))
 
-    def _unread_for_us(self, *, is_last: bool) -> int:
-        """Returns how long the data just read may have been unread, in microseconds; 0 without a standstill.
-
-        The system reports the arrival time of the last bytes only. Earlier ones may have arrived at any time
-        since the standstill began or since the connection's socket was last known to be empty.
-        """
-        standstills = self.frontend.router_task.standstills
-        if not standstills.is_recovering():
-            return 0
-        if is_last:
-            last_arrival_age_us = self.connection.last_arrival_age_us()
-            if not self.connection.has_unread_input():
-                return last_arrival_age_us
-        unread_since = max(standstills.last_began_at, self.connection.drained_at)
-        return int((asyncio.get_running_loop().time() - unread_since) * 1e6)
-
     def _reject_invalid_request(
         self, received: fastcgi.FastCgiRequest, response: FastCgiResponse, error: str
     ) -> None:
--- a/hoistplank/routing/standstill.py
+++ b/hoistplank/routing/standstill.py
@@ -6,6 +6,8 @@
 import time
 from collections.abc import Callable
 
+from hoistplank.transport.connection import Connection
+
 CHECK_INTERVAL_S = 0.04
 # Longer than the interval between checks, and shorter than the time allowed between a client's disconnect and
 # an attempt for it (0.1 s), or between a drain and the last attempt sent to its host.
@@ -58,3 +60,20 @@
         """Reads the data that arrived during a standstill, while recovering from one."""
         if self.is_recovering():
             self.read_pending()
+
+
+def unread_for_us(standstills: StandstillDetector, connection: Connection, *, is_last: bool) -> int:
+    """Returns how long the data just read may have been unread, in microseconds; 0 without a standstill.
+    `is_last`: no further data was read after it.
+
+    The system reports the arrival time of the last bytes only. Earlier ones may have arrived at any time
+    since the standstill began or since the connection's socket was last known to be empty.
+    """
+    if not standstills.is_recovering():
+        return 0
+    if is_last:
+        last_arrival_age_us = connection.last_arrival_age_us()
+        if not connection.has_unread_input():
+            return last_arrival_age_us
+    unread_since = max(standstills.last_began_at, connection.drained_at)
+    return int((asyncio.get_running_loop().time() - unread_since) * 1e6)
