A shutdown after a standstill longer than its limits answers what is open

Found by reading the change again, not by a run.

Cause: counts the shutdown's limits from the start of a standstill that has just ended, without a floor. After a standstill longer than the last of them (1.62 s where the longest deadline is 1 s, 3.62 s at most) the loop that fails and writes what is open did not run once.

--- a/hoistplank/program/graceful_shutdown.py
+++ b/hoistplank/program/graceful_shutdown.py
@@ -24,8 +24,8 @@
 class GracefulShutdown:
     """Answers the open requests, then closes the connections in order, within fixed time limits.
 
-    `deadline_s` is the longest deadline of the traffic classes. New connections are accepted for
-    ACCEPT_WINDOW_S after the signal is read; the other limits count from when it may have been sent.
+    `deadline_s` is the longest deadline of the traffic classes. ACCEPT_WINDOW_S counts from when the signal
+    is read, the other limits from when it may have been sent.
     """
 
     def __init__(
@@ -62,9 +62,14 @@
 
     def _earliest_signal_at(self, noticed_at: float) -> float:
         """Returns the earliest time at which a signal that is read now may have been sent: the process does
-        not read it during a standstill, and the time until SIGKILL goes on."""
+        not read it during a standstill, and the time until SIGKILL goes on.
+
+        No earlier than `last_answer_s` ago: what is open is answered and written however long that was.
+        """
         standstills = self.router_task.standstills
-        return standstills.last_began_at if standstills.is_recovering() else noticed_at
+        if not standstills.is_recovering():
+            return noticed_at
+        return max(standstills.last_began_at, noticed_at - self.last_answer_s)
 
     async def _close_connections(self) -> None:
         """Stops accepting, and closes each connection once its requests are answered.
--- a/tests/test_standstill.py
+++ b/tests/test_standstill.py
@@ -15,7 +15,7 @@
 from hoistplank.fakes.wire import FastCgiClient, ScriptedCacheHost
 from hoistplank.routing.events import EndpointWatchStage, EndpointWatchStageChanged
 from hoistplank.transport.connection import INITIAL_BUFFER_BYTES
-from tests.dispatcher_scene import KEY, SteadyDispatcher, request_bytes
+from tests.dispatcher_scene import KEY, SteadyDispatcher, request_bytes, silent
 from tests.dispatcher_scene import served as answer_at_once
 from tests.helpers import until
 from tests.refusal_rig import traffic_class
@@ -23,6 +23,7 @@
 from tests.test_unconfirmed_list import Requests, sent_to
 
 STOPPED_S = 0.6
+LONG_STANDSTILL_S = 60.0
 KILLED_AFTER_S = 3.7  # from SIGTERM, by the protocol's page
 LARGE_REQUESTS, LARGE_BODY_BYTES = 8, 5_000  # more than fits in one read
 PURGES = 3_000  # before the drain in the log: far more than fit in one read
@@ -216,3 +217,20 @@
             assert time.monotonic() - asked_at < KILLED_AFTER_S
 
     run_scene(scene())
+
+
+def test_shutdown_after_a_standstill_longer_than_its_limits_answers_what_is_open(tmp_path: Path) -> None:
+    """Its limits are over when it begins, and what is open is owed an answer."""
+
+    async def scene() -> None:
+        host = ScriptedCacheHost(silent)
+        async with SteadyDispatcher(tmp_path, {"a": host, "o": host}) as dispatcher:
+            dispatcher.client.send(1, "booking", KEY)
+            await until(lambda: bool(host.requests))
+            standstills = dispatcher.service.router_task.standstills
+            standstills.last_began_at = time.monotonic() - LONG_STANDSTILL_S
+            standstills._recovering_until = time.monotonic() + STOPPED_S
+            dispatcher.service.terminated.set()
+            assert (await asyncio.wait_for(dispatcher.client.read_answer(), 5))[1] == 502
+
+    run_scene(scene())
