The test of a shutdown asked for during a standstill judges each answer by its number

Traced by the log that this run left: 'attempts=1 rejected=1 failed=1'; the request that the origin had whole was failed ('late, written, 3001 ms'), and the second was rejected before any attempt, as a busy dispatcher may. The dispatcher was right; the test expected an attempt for the second whatever the load.

As strict in its place: the first, which the origin has, is 502 and nothing else; the second is 502 where the origin had it whole and 503 where it had not; the old line did not tell the two apart. The bound on the end is the same.

--- a/tests/test_standstill.py
+++ b/tests/test_standstill.py
@@ -211,9 +211,12 @@
             await resume_after(deployment, 0.8)
             await asyncio.sleep(0.2)
             client.send(2, "order", fields, b"x" * 100)
-            statuses = [(await asyncio.wait_for(client.read_answer(), 5))[1] for _ in range(2)]
+            answers = [(await asyncio.wait_for(client.read_answer(), 5))[:2] for _ in range(2)]
             await asyncio.wait_for(process.wait(), 5)
-            assert statuses == [502, 502] and process.returncode == 0
+            taken = {attempt.request_id for attempt in origin.taken}
+            # A busy dispatcher may reject the second before any attempt; what the origin has is failed.
+            second_status = 502 if f"{2:016x}" in taken else 503
+            assert sorted(answers) == [(1, 502), (2, second_status)] and process.returncode == 0
             assert time.monotonic() - asked_at < KILLED_AFTER_S
 
     run_scene(scene())
