--- a/review/6/case.py
+++ b/review/6/case.py
@@ -58,7 +58,7 @@
         raise standins.CouldNotRunError("the host got no request before it drained")
     limit = drained_at + TOLD_S + GRACE_S + SLACK_S
     return [
-        f"{one.request_id} reached {one.host} {one.at - drained_at:.2f} s after its drain was in the change log"
+        f"{one.request_id} reached {one.host} {one.at - drained_at:.2f} s after its drain was in the log"
         for one in site.arrivals
         if one.at > limit and drained.uid in (one.host, one.fields.get("parent"))
     ]
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,4 +1,4 @@
-"""An outage of the change log at the start of a release: a drain that counts as told must be kept."""
+"""Clients that write a request slowly: each request whose last byte was written must get a whole answer."""
 
 from __future__ import annotations
 
@@ -9,51 +9,67 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "lib2"))
 import standins
-from standins import Record, Site
+from standins import Record, Sent, Site, request_bytes, wait_until
 
-OUTAGE_S = 12.0
-DOWN_AT_S, DRAIN_AFTER_S, END_S = 4.0, 0.3, 22.0
-TOLD_S = 7.0  # "counts as told 7 s later at the latest, whether or not it arrived"
-GRACE_S = 0.25  # `stop_sending_within` of the settings
-SLACK_S = 0.05  # of each time limit on sockets
-RATE = 40
+BODY_BYTES = 48_000  # "a write brings up to 48,000"
+WRITE_S = 2.4 if standins.TROUBLE else 0.2  # from the first byte of the request to its last
+PIECES = 24
+CLIENTS = 8
+WAIT_S = (
+    3.0 + 0.05 + 0.5
+)  # the longest deadline, the slack and the half second in which an answer only earns nothing
+
+
+async def write_slowly(site: Site, number: int, record: Record) -> tuple[bool, Sent, float]:
+    """Sends a short request, then a booking in pieces; returns whether all was written, both in one."""
+    client = await site.client()
+    first = client.send("station-page", f"{number:016x}")
+    await asyncio.sleep(0.3)
+    if first.status != 200:
+        raise standins.CouldNotRunError("the first request was not served")
+    assert client.writer is not None
+    request_id = f"b00c{number:012x}"
+    fields = {
+        "HTTP_X_CORRELATION_ID": request_id,
+        "HTTP_X_DEADLINE_MS": "3000",
+        "HTTP_X_SUBJECT": f"{number:016x}",
+        "HTTP_X_TAG": "17",
+        "HTTP_X_OPERATION_KEY": f"{number:032x}",
+    }
+    data = request_bytes(20_000, "/api/v2/slot-booking", fields, bytes(BODY_BYTES))
+    sent = client.open[20_000] = Sent(request_id, time.time(), 3000)
+    step = len(data) // PIECES + 1
+    record.write("begins to write", id=request_id, bytes=len(data))
+    try:
+        for at in range(0, len(data), step):
+            if at:
+                await asyncio.sleep(WRITE_S / (PIECES - 1))
+            client.writer.write(data[at : at + step])
+            await client.writer.drain()
+    except OSError as error:
+        record.write("write failed", id=request_id, error=type(error).__name__)
+        return False, sent, 0.0
+    sent.at = time.time()
+    record.write("last byte written", id=request_id)
+    await wait_until(lambda: sent.status, WAIT_S)
+    await client.close()
+    return True, sent, sent.answered_at
 
 
 async def case(folder: Path, record: Record) -> list[str]:
-    """Takes the change log down, lets a host begin to drain, and brings the log back."""
+    """Lets clients write slowly, side by side."""
     site = Site(folder, record)
-    drained_at = back_at = 0.0
     try:
         await site.up()
-        drained = site.caches[0]
-        client = await site.client()
-        began, count, is_down = time.monotonic(), 0, False
-        while (now := time.monotonic() - began) < END_S:
-            if standins.TROUBLE and not is_down and now > DOWN_AT_S:
-                is_down = True
-                site.log.down()
-            if not drained_at and now > DOWN_AT_S + DRAIN_AFTER_S:
-                drained_at = time.time()
-                site.list_change(drained, "draining")
-            if is_down and not back_at and now > DOWN_AT_S + OUTAGE_S:
-                back_at = time.time()
-                await site.log.up()
-                record.write("change log up")
-            while count < RATE * now:
-                count += 1
-                client.send("station-page", f"{count:016x}")
-            await asyncio.sleep(0.01)
-        await asyncio.sleep(2.5)
-        await client.close()
+        results = await asyncio.gather(*(write_slowly(site, n, record) for n in range(CLIENTS)))
     finally:
         await site.dispatcher.stop()
-    if not any(one.host == drained.uid and one.at < drained_at for one in site.arrivals):
-        raise standins.CouldNotRunError("the host got no request before it drained")
-    limit = drained_at + TOLD_S + GRACE_S + SLACK_S
+    for is_written, sent, _ in results:
+        record.write("result", id=sent.id, written=is_written, status=sent.status)
     return [
-        f"{one.request_id} reached {one.host} {one.at - drained_at:.2f} s after its drain was in the change log"
-        for one in site.arrivals
-        if one.at > limit and drained.uid in (one.host, one.fields.get("parent"))
+        f"booking {sent.id}: its last byte was written, and it got no answer"
+        for is_written, sent, _ in results
+        if is_written and not sent.status
     ]
 
 
--- a/review/lib2/standins.py
+++ b/review/lib2/standins.py
@@ -26,6 +26,7 @@
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 HELD, BROKEN, COULD_NOT_RUN = 0, 1, 2
 READY_S = 30.0
+_port_numbers = itertools.count()
 
 
 class CouldNotRunError(Exception):
@@ -58,9 +59,9 @@
 
 
 def free_port() -> int:
-    """Returns a port of 127.0.0.1 that is free now, below those that connections are given."""
-    for number in range(20_000):
-        port = 11_000 + (os.getpid() * 61 + number) % 20_000
+    """Returns another free port of 127.0.0.1 with each call, below those that connections are given."""
+    for _ in range(20_000):
+        port = 11_000 + (os.getpid() * 61 + next(_port_numbers)) % 20_000
         with contextlib.suppress(OSError), socket.socket() as probe:
             probe.bind(("127.0.0.1", port))
             return port
@@ -441,7 +442,9 @@
 class Dispatcher:
     """One dispatcher, started by `run` of the deploy file."""
 
-    def __init__(self, name: str, folder: Path, record: Record, environment: dict[str, str] | None = None) -> None:
+    def __init__(
+        self, name: str, folder: Path, record: Record, environment: dict[str, str] | None = None
+    ) -> None:
         self.name, self.folder, self.record = name, folder, record
         self.port = free_port()
         self.environment = environment or {}
@@ -474,7 +477,7 @@
     async def start(self) -> None:
         """Starts it and waits until it answers the health check with 200."""
         command = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["run"]
-        own = {name: value for name, value in os.environ.items() if not name.startswith(("EDGE_", "HOISTPLANK_"))}
+        own = plain_environment()
         temporary = self.folder / f"{self.name}.tmp"
         temporary.mkdir(exist_ok=True)
         own |= {
@@ -529,6 +532,21 @@
             await self.process.wait()
 
 
+def plain_environment() -> dict[str, str]:
+    """Returns this process's environment without the variables that a dispatcher reads."""
+    return {
+        name: value for name, value in os.environ.items() if not name.startswith(("EDGE_", "HOISTPLANK_"))
+    }
+
+
+async def wait_until(condition: Callable[[], object], seconds: float) -> bool:
+    """Waits for a condition, `seconds` at most; returns whether it holds."""
+    until = time.monotonic() + seconds
+    while not condition() and time.monotonic() < until:  # noqa: ASYNC110  several kinds of condition
+        await asyncio.sleep(0.01)
+    return bool(condition())
+
+
 Case = Callable[[Path, Record], Awaitable[list[str]]]
 
 
@@ -572,8 +590,13 @@
     environment: dict[str, str] = field(default_factory=dict)
     settings: dict[str, Any] = field(default_factory=settings)
 
-    async def up(self, caches: int = 4) -> None:
+    async def up(self) -> None:
         """Starts the stand-ins, and the dispatcher with the whole list under `known`."""
+        await self.stand_ins_up()
+        await self.dispatcher.start()
+
+    async def stand_ins_up(self, caches: int = 4) -> None:
+        """Starts the stand-ins, and writes the dispatcher's configuration."""
         self.caches = [self._host(f"s-00c41f{n:02x}") for n in range(caches)]
         self.parents = [self._host(f"p-0000000{n}", "parent", "hub") for n in range(2)]
         self.origin = self._host("o-00000001", "origin", "hub")
@@ -585,7 +608,6 @@
         self.log.publish(fleet={"rev": 1, "all": True, "targets": [host.target() for host in self.hosts]})
         self.dispatcher = Dispatcher("n0", self.folder, self.record, self.environment)
         self.dispatcher.configure(self.log.port, list(self.log.events), settings=self.settings)
-        await self.dispatcher.start()
 
     def _host(self, uid: str, model: str = "box", zone: str = "z1") -> CacheHost:
         return CacheHost(uid, self.record, self.arrivals, self.answer, model, zone)
