--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,21 +1,21 @@
-"""A change log that writes its lines in two pieces: a drain that is told must be kept."""
+"""A change log that writes its lines in two pieces: drains that are told must be kept."""
 
 from __future__ import annotations
 
 import asyncio
 import sys
-import time
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "lib2"))
 import standins
-from standins import Record, Site
+from standins import Record, Site, send_steadily
 
 PAUSE_S = 0.6  # between the two pieces of an event's line
 TOLD_S = 7.0  # "counts as told 7 s later at the latest, whether or not it arrived"
 GRACE_S = 0.25  # `stop_sending_within` of the settings
 SLACK_S = 0.05  # of each time limit on sockets
-DRAIN_AT_S, END_S = 4.0, 24.0
+DEAD_AFTER_S, SUCCESSOR_AFTER_S = 2.0, 6.0  # after the drain; the pages: 0.59 to 2.9 s, then 5.8 to 15 s
+BEFORE_S, AFTER_S = 4.0, 24.0
 RATE = 40
 
 
@@ -30,38 +30,37 @@
 
 
 async def case(folder: Path, record: Record) -> list[str]:
-    """Drains one of four cache hosts through a slow change log, under steady requests."""
+    """Takes one of four cache hosts away, told by a slow change log, under steady requests."""
     site = Site(folder, record)
-    drained_at = 0.0
     try:
         await site.up()
         if standins.TROUBLE:
             site.log.write_line = write_in_pieces
-        drained = site.caches[0]
+        leaving = site.caches[0]
         client = await site.client()
-        began, count = time.monotonic(), 0
-        while (now := time.monotonic() - began) < END_S:
-            if not drained_at and now > DRAIN_AT_S:
-                drained_at = time.time()
-                site.list_change(drained, "draining")
-            while count < RATE * now:
-                count += 1
-                client.send("station-page", f"{count:016x}")
-            await asyncio.sleep(0.01)
+        following = await send_steadily(client, RATE, BEFORE_S)
+        release = asyncio.create_task(site.release(leaving, DEAD_AFTER_S, SUCCESSOR_AFTER_S))
+        await send_steadily(client, RATE, AFTER_S, following)
+        await release
         await asyncio.sleep(2.5)
         await client.close()
     finally:
         await site.dispatcher.stop()
-    if sum(sent.status == 200 for sent in client.sent) < len(client.sent) // 4:
-        raise standins.CouldNotRunError("too few requests were served")
-    if not any(one.host == drained.uid and one.at < drained_at for one in site.arrivals):
+    if not any(one.host == leaving.uid and one.at < site.drained_at for one in site.arrivals):
         raise standins.CouldNotRunError("the host got no request before it drained")
-    limit = drained_at + TOLD_S + GRACE_S + SLACK_S
-    return [
-        f"{one.request_id} reached {one.host} {one.at - drained_at:.2f} s after its drain was in the log"
-        for one in site.arrivals
-        if one.at > limit and drained.uid in (one.host, one.fields.get("parent"))
-    ]
+    limit_s = TOLD_S + GRACE_S + SLACK_S
+    breaches = []
+    for one in site.arrivals:
+        if one.host == leaving.uid and one.at > site.drained_at + limit_s:
+            breaches.append(
+                f"{one.request_id} reached {one.host}, {one.at - site.drained_at:.2f} s after its drain"
+            )
+        elif one.host == site.successor.uid and one.at > site.gone_at + limit_s:
+            late_s = one.at - site.gone_at
+            breaches.append(
+                f"{one.request_id}, sent as to {leaving.uid}, gone for {late_s:.2f} s, reached {one.host}"
+            )
+    return breaches
 
 
 standins.play(case, Path(__file__).resolve().parent)
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,75 +1,97 @@
-"""Clients that write a request slowly: each request whose last byte was written must get a whole answer."""
+"""A dispatcher was told of a drain by its configuration; the control replica that it follows is older."""
 
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import signal
 import sys
 import time
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "lib2"))
 import standins
-from standins import Record, Sent, Site, request_bytes, wait_until
+from standins import Record, Site, free_port, send_steadily
 
-BODY_BYTES = 48_000  # "a write brings up to 48,000"
-WRITE_S = 2.4 if standins.TROUBLE else 0.2  # from the first byte of the request to its last
-PIECES = 24
-CLIENTS = 8
-WAIT_S = (
-    3.0 + 0.05 + 0.5
-)  # the longest deadline, the slack and the half second in which an answer only earns nothing
+GRACE_S = 0.25  # `stop_sending_within` of the settings
+SLACK_S = 0.05  # of each time limit on sockets
+DEAD_AFTER_S, SUCCESSOR_AFTER_S = 2.0, 6.0  # after the drain; the pages: 0.59 to 2.9 s, then 5.8 to 15 s
+BEFORE_S, AFTER_S = 3.0, 12.0
+RATE = 40
 
 
-async def write_slowly(site: Site, number: int, record: Record) -> tuple[bool, Sent, float]:
-    """Sends a short request, then a booking in pieces; returns whether all was written, both in one."""
-    client = await site.client()
-    first = client.send("station-page", f"{number:016x}")
-    await asyncio.sleep(0.3)
-    if first.status != 200:
-        raise standins.CouldNotRunError("the first request was not served")
-    assert client.writer is not None
-    request_id = f"b00c{number:012x}"
-    fields = {
-        "HTTP_X_CORRELATION_ID": request_id,
-        "HTTP_X_DEADLINE_MS": "3000",
-        "HTTP_X_SUBJECT": f"{number:016x}",
-        "HTTP_X_TAG": "17",
-        "HTTP_X_OPERATION_KEY": f"{number:032x}",
-    }
-    data = request_bytes(20_000, "/api/v2/slot-booking", fields, bytes(BODY_BYTES))
-    sent = client.open[20_000] = Sent(request_id, time.time(), 3000)
-    step = len(data) // PIECES + 1
-    record.write("begins to write", id=request_id, bytes=len(data))
-    try:
-        for at in range(0, len(data), step):
-            if at:
-                await asyncio.sleep(WRITE_S / (PIECES - 1))
-            client.writer.write(data[at : at + step])
-            await client.writer.drain()
-    except OSError as error:
-        record.write("write failed", id=request_id, error=type(error).__name__)
-        return False, sent, 0.0
-    sent.at = time.time()
-    record.write("last byte written", id=request_id)
-    await wait_until(lambda: sent.status, WAIT_S)
-    await client.close()
-    return True, sent, sent.answered_at
+async def start_replica(folder: Path, configuration: Path, port: int) -> asyncio.subprocess.Process:
+    """Starts the project's control replica and waits until it listens."""
+    own = standins.plain_environment()
+    with (folder / "replica.log").open("ab") as log:
+        process = await asyncio.create_subprocess_exec(
+            str(standins.ROOT / ".venv" / "bin" / "python"),
+            *(
+                "-m",
+                "hoistplank.cli.main",
+                "control",
+                "replica",
+                "--name",
+                "c1",
+                "--listen",
+                f"127.0.0.1:{port}",
+            ),
+            cwd=standins.ROOT,
+            env=own | {"EDGE_CONFIG": str(configuration)},
+            stdout=log,
+            stderr=log,
+        )
+    until = time.monotonic() + 15
+    while time.monotonic() < until and process.returncode is None:
+        if "change log event applied" in (folder / "replica.log").read_text():
+            return process
+        await asyncio.sleep(0.05)
+    with contextlib.suppress(ProcessLookupError):
+        process.kill()
+    raise standins.CouldNotRunError(f"the replica has no list: {(folder / 'replica.log').read_text()[-500:]}")
 
 
 async def case(folder: Path, record: Record) -> list[str]:
-    """Lets clients write slowly, side by side."""
-    site = Site(folder, record)
+    """Cuts the replica off from the change log, takes a cache host away, and restarts the dispatcher."""
+    port = free_port()
+    operator = folder / "operator.sexp"
+    operator.write_text(f"(distribution (replica c1 (endpoint 127.0.0.1:{port})))\n")
+    site = Site(folder, record, environment={"HOISTPLANK_OPERATOR": str(operator)})
+    replica = None
     try:
-        await site.up()
-        results = await asyncio.gather(*(write_slowly(site, n, record) for n in range(CLIENTS)))
+        await site.stand_ins_up()
+        replica = await start_replica(folder, site.dispatcher.configuration, port)
+        await site.dispatcher.start()
+        client = await site.client()
+        following = await send_steadily(client, RATE, BEFORE_S)
+        if standins.TROUBLE:
+            site.log.down()
+        leaving = site.caches[0]
+        await site.release(leaving, DEAD_AFTER_S, SUCCESSOR_AFTER_S)
+        site.dispatcher.signal(signal.SIGTERM)
+        assert site.dispatcher.process is not None
+        await asyncio.wait_for(site.dispatcher.process.wait(), 8)
+        await client.close()
+        site.dispatcher.configure(site.log.port, list(site.log.events), settings=site.settings)
+        told_at = time.time()
+        record.write("configuration with the drain under known")
+        await site.dispatcher.start()
+        client = await site.client()
+        await send_steadily(client, RATE, AFTER_S, following)
+        await asyncio.sleep(2.5)
+        await client.close()
     finally:
         await site.dispatcher.stop()
-    for is_written, sent, _ in results:
-        record.write("result", id=sent.id, written=is_written, status=sent.status)
+        if replica is not None:
+            with contextlib.suppress(ProcessLookupError):
+                replica.terminate()
+            await replica.wait()
+    if not any(one.host == leaving.uid and one.at < site.drained_at for one in site.arrivals):
+        raise standins.CouldNotRunError("the host got no request before it drained")
     return [
-        f"booking {sent.id}: its last byte was written, and it got no answer"
-        for is_written, sent, _ in results
-        if is_written and not sent.status
+        f"{one.request_id}, as to {leaving.uid}, reached {one.host} {one.at - told_at:.2f} s after the start"
+        for one in site.arrivals
+        if one.at > told_at + GRACE_S + SLACK_S and one.host in (leaving.uid, site.successor.uid)
     ]
 
 
--- a/review/lib2/standins.py
+++ b/review/lib2/standins.py
@@ -195,6 +195,15 @@
         self.port = sock.getsockname()[1]
         self.server = await asyncio.start_server(self._serve, sock=sock)
 
+    def down(self) -> None:
+        """Ends the process: its connections are reset, further ones refused."""
+        if self.server is not None:
+            self.server.close()
+            self.server = None
+        for writer in list(self.writers):
+            writer.transport.abort()
+        self.record.write("host down", host=self.uid)
+
     def target(self, state: str = "ready", boot_ms: int = 0) -> dict[str, Any]:
         """Returns its row of the list."""
         return {
@@ -353,7 +362,7 @@
 def settings(**changes: Any) -> dict[str, Any]:
     """Returns settings of a small deployment by the figures of charge-portal; `changes` by dotted paths."""
     out: dict[str, Any] = {
-        "areas": ["hub", "z1"],
+        "areas": ["hub", "z1", "z2"],
         "models": ["box", "parent", "origin"],
         "zone": "z1",
         "group_size": 1,
@@ -399,8 +408,8 @@
             "notes_given": "hit",
             "sideways": "location",
             "stream_kb_per_s": 4000.0,
-            "zone_link_kb_per_s": [0.0, 400000.0],
-            "instances_by_zone": [0, 1],
+            "zone_link_kb_per_s": [0.0, 400000.0, 400000.0],
+            "instances_by_zone": [0, 1, 1],
             "purge_takes": 6.0,
             "purge_grace": 1.0,
             "parent_starts_at": 0.063,
@@ -616,6 +625,22 @@
         """Puts a change of a host's state into the change log."""
         self.log.publish(fleet={"rev": self.log.last + 1, "all": False, "targets": [host.target(state)]})
 
+    async def release(self, host: CacheHost, dead_after_s: float, successor_after_s: float) -> None:
+        """Takes a cache host away: it is listed as draining, ends, is gone, and a new cache host of another
+        branch starts at its address. `successor` is that one, `drained_at` and `gone_at` are Unix times."""
+        self.drained_at = time.time()
+        self.list_change(host, "draining")
+        await asyncio.sleep(dead_after_s)
+        host.down()
+        self.gone_at = time.time()
+        self.list_change(host, "gone")
+        await asyncio.sleep(successor_after_s - dead_after_s)
+        self.successor = CacheHost("s-00c41fe0", self.record, self.arrivals, self.answer, zone="z2")
+        self.successor.port = host.port
+        await self.successor.up()
+        started = self.successor.target(boot_ms=int(time.time() * 1000))
+        self.log.publish(fleet={"rev": self.log.last + 1, "all": False, "targets": [started]})
+
     async def client(self) -> Client:
         """Returns a connected client."""
         client = Client(self.dispatcher.address, self.record)
@@ -623,6 +648,17 @@
         return client
 
 
+async def send_steadily(client: Client, rate: float, seconds: float, first: int = 0) -> int:
+    """Sends requests for ever new objects at a steady rate; returns the number of the next one."""
+    began, count = time.monotonic(), 0
+    while (now := time.monotonic() - began) < seconds:
+        while count < rate * now:
+            count += 1
+            client.send("station-page", f"{first + count:016x}")
+        await asyncio.sleep(0.01)
+    return first + count
+
+
 async def stop_all(dispatchers: Iterable[Dispatcher]) -> None:
     """Ends dispatchers side by side."""
     await asyncio.gather(*(one.stop() for one in dispatchers))
