A long outage of the change log sends no work to a process that nobody vouches for

Cause: where connections to the log are refused, `ListConfirmation` lets the list be used without a bound, and nothing asked what a new connection to an address of that list leads to. An address identifies no process: the connections to the old process had been reset, and the pool opened new ones to the same address.

Fix: `decision/process_identity.py`. A confirmed list vouches for its addresses, and one that was lost for the 7 s after which its changes count as told. From then on an attempt needs a verified connection: one that was up when the list was last confirmed, or was established within 2 s of that with no break before it; and each further one for which a verified connection to the same host answered a probe after it was established (then the listed process was alive, so it was the one that accepted). Idle connections stay and are probed once a second while the list is not confirmed, a host that says `red` gets nothing, and up to 8 caches and the origin are connected to within the 2 s, so that a restart within an outage has something to go on. The choice and the check at the first byte ask the same object; a request that no identified host may take is rejected at once. It holds for REFUSED, for a log that doesn't answer and for one that never confirms, a SIGHUP to another log included, as it counts from the last confirmation and not by the watch's stage. Hosts that a dispatcher without any list of the log has probed (`PROBED`) are used as before: their probe is what vouches.

Why it works: a process that dies resets its connections, so one that never broke leads to the process that the list named, however long ago; and one that is opened by an old list proves nothing, so it carries nothing.

--- a/hoistplank/decision/events.py
+++ b/hoistplank/decision/events.py
@@ -62,6 +62,7 @@
     SNAPSHOT = "whole"  # the other hosts are removed
     PERSISTED = "kept"  # a snapshot of the same change log, saved before a restart
     UNCONFIRMED = "own"  # an older snapshot; no change log tells what was purged since
+    PROBED = "probed"  # like UNCONFIRMED, of which only hosts are named that answered a probe
 
 
 class Endpoint(msgspec.Struct, frozen=True, gc=False):
@@ -102,10 +103,12 @@
 class EndpointWatchStageChanged(msgspec.Struct, frozen=True, gc=False):
     """The watch on the endpoint list entered another stage.
 
-    If no stage is ever reported, the list counts as confirmed.
+    If no stage is ever reported, the list counts as confirmed. `confirmed_us`: the time at which the source
+    last confirmed the list, 0 if it never did.
     """
 
     stage: EndpointWatchStage
+    confirmed_us: int = 0
 
 
 class EventLoopMeasured(msgspec.Struct, frozen=True, gc=False):
--- a/hoistplank/decision/list_confirmation.py
+++ b/hoistplank/decision/list_confirmation.py
@@ -36,6 +36,8 @@
 # silent source 4 s after its last message, which is noticed 2.3 s after it at the latest. A start is treated
 # like a break.
 RECEIVED_AFTER_LOSS_US = 1_500_000
+# A change of the list counts as received this long after it was published, whether or not it was.
+CHANGES_RECEIVED_US = 7_000_000
 
 
 class ListStanding(StrEnum):
@@ -62,15 +64,22 @@
         self.stage: EndpointWatchStage | None = None
         self.was_confirmed = False
         self.is_unreachable = False  # the last connection attempt was refused
+        # The time of the last confirmation, or of the start, once the list is watched and not confirmed.
+        self.unconfirmed_since_us: int | None = None
         self.hold_from_us = 0
         self.hold_until_us = 0
         self._awaiting_since_us = NEVER_US  # start of the current wait for an answer
         # The time from which changes that were not seen count as received; None while there are none.
         self._unseen_received_us: int | None = None
 
-    def observe(self, now_us: int, stage: EndpointWatchStage) -> None:
-        """Records that the watch entered another stage."""
+    def observe(self, now_us: int, stage: EndpointWatchStage, confirmed_us: int = 0) -> None:
+        """Records that the watch entered another stage. `confirmed_us`: the time at which the source last
+        confirmed the list; 0 if it never did, or did just now."""
         previous, self.stage = self.stage, stage
+        if stage == EndpointWatchStage.CONFIRMED:
+            self.unconfirmed_since_us = None
+        elif previous is None or previous == EndpointWatchStage.CONFIRMED:
+            self.unconfirmed_since_us = confirmed_us or now_us
         if previous is None or previous == EndpointWatchStage.CONFIRMED:
             self._unseen_received_us = now_us + RECEIVED_AFTER_LOSS_US
         if previous is None:
@@ -129,6 +138,12 @@
         """Returns True if attempts may be sent by the current list."""
         return self.standing(now_us) != ListStanding.AWAITED
 
+    def vouches_for_addresses(self, now_us: int) -> bool:
+        """Returns True while a host that has gone unnoticed need not be known: its address may be another
+        host's after that."""
+        since_us = self.unconfirmed_since_us
+        return since_us is None or now_us < since_us + CHANGES_RECEIVED_US
+
     def copies_valid_from_us(self, now_us: int) -> int:
         """Returns the time before which copies must not be requested, as a purge that was not seen may have
         invalidated them; 0 for no bound.
--- a/hoistplank/decision/parts.py
+++ b/hoistplank/decision/parts.py
@@ -11,6 +11,7 @@
 from hoistplank.decision.hosts import HostTable
 from hoistplank.decision.list_confirmation import ListConfirmation
 from hoistplank.decision.overload import OverloadGuard
+from hoistplank.decision.process_identity import ProcessIdentity
 from hoistplank.decision.purges import PurgeWatermarks
 from hoistplank.decision.ranking import HostRanking
 from hoistplank.decision.requests import TrafficClassState
@@ -44,6 +45,7 @@
         self.hosts = HostTable(settings)
         rules = settings.rules
         self.list_confirmation = ListConfirmation(rules.drain_grace_us, rules.purge_grace_us)
+        self.process_identity = ProcessIdentity(self.list_confirmation)
         self.slow_start = types.slow_start(settings, self.hosts, class_states)
         self.health = types.health(self.hosts, self.slow_start)
         self.host_limits = HostLimits(settings, self.health)
--- a/hoistplank/decision/placement.py
+++ b/hoistplank/decision/placement.py
@@ -20,6 +20,8 @@
 HOLD_MARGIN_US = 40_000
 # A cache with a recovery limit above this counts as reachable, even if it has no capacity now.
 REACHABLE_RECOVERY_LIMIT = 8
+# To so many caches a connection is kept while the list's source can't be reached.
+MIN_VERIFIED_CACHES = 8
 
 # Factors of the order of waiting requests: repeats come later, and so do classes whose fills are late. The
 # lower bounds keep their weight above 0.
@@ -57,6 +59,8 @@
     def __init__(self, settings: RouterSettings, parts: Parts) -> None:
         self.hosts = parts.hosts
         self.list_confirmation = parts.list_confirmation
+        self.identity = parts.process_identity
+        self.dispatcher_index = settings.dispatcher_index
         self.health = parts.health
         self.slow_start = parts.slow_start
         self.host_limits = parts.host_limits
@@ -76,7 +80,8 @@
 
     def apply_list_form(self, form: EndpointListForm) -> None:
         """Disallows stale copies while purges are unknown, as after an unconfirmed list."""
-        self.purges_unknown = form == EndpointListForm.UNCONFIRMED
+        self.purges_unknown = form in (EndpointListForm.UNCONFIRMED, EndpointListForm.PROBED)
+        self.identity.is_list_probed = form == EndpointListForm.PROBED
 
     def cost_per_weight(self, request: Request) -> float:
         """Returns the sort key of waiting requests: expected time per priority weight, lowest first."""
@@ -111,6 +116,8 @@
             return EndReason.LIST_UNCONFIRMED
         if now_us > request.latest_start_us:
             return EndReason.TOO_LATE
+        if not self._any_host_identified(now_us):
+            return EndReason.LIST_UNCONFIRMED
         return EndReason.NO_HOST if self._may_attempt_again(now_us, request) else EndReason.NO_ATTEMPT_LEFT
 
     def _may_attempt_again(self, now_us: int, request: Request) -> bool:
@@ -146,12 +153,12 @@
         origin = self.hosts.usable_origin()
         if origin is None:
             return GIVE_UP
-        if self.may_bypass_caches:
+        if self.may_bypass_caches and self.identity.permits_host(now_us, origin.name):
             planned = PlannedAttempt(origin, None)
         else:
             cache = self._first_cache(now_us, request)
             if cache is None:
-                return HOLD
+                return HOLD if self._any_host_identified(now_us) else GIVE_UP
             planned = PlannedAttempt(cache, origin)
         return self._attempt_if_permitted(now_us, request, planned) or HOLD
 
@@ -163,7 +170,11 @@
             joined = self._follow_leader(now_us, request, herd)
             if joined is not None:
                 return joined
-        if holder is not None and self.host_limits.has_capacity(now_us, holder):
+        if (
+            holder is not None
+            and self.host_limits.has_capacity(now_us, holder)
+            and self.identity.permits_host(now_us, holder.name)
+        ):
             host: Host | None = holder
         else:
             host = self._first_cache(now_us, request)
@@ -222,7 +233,7 @@
             return HOLD
         parent = self.sources.choose(now_us, request, None) if self.may_bypass_caches else None
         if parent is None:
-            return HOLD if any(cache.is_up for cache in self.hosts.caches) else GIVE_UP
+            return HOLD if self._any_cache_identified(now_us) else GIVE_UP
         if not self.fills.has_capacity(now_us):
             return HOLD
         planned = PlannedAttempt(parent, self.hosts.usable_origin() or parent, is_fill=True)
@@ -232,6 +243,7 @@
         sending_time_us = request.class_state.sending_time_us
         return any(
             cache.recovery_limit > REACHABLE_RECOVERY_LIMIT
+            and self.identity.permits_host(now_us, cache.name)
             and self.health.is_usable(now_us, cache)
             and self.slow_start.fits_budget(now_us, cache, sending_time_us)
             for cache in self.hosts.caches
@@ -247,12 +259,49 @@
             order = sorted(order, key=request.failed_hosts.__contains__)
         sending_time_us = request.class_state.sending_time_us
         for cache in order:
-            if self.host_limits.has_capacity(now_us, cache) and self.slow_start.fits_budget(
-                now_us, cache, sending_time_us
+            if (
+                self.host_limits.has_capacity(now_us, cache)
+                and self.identity.permits_host(now_us, cache.name)
+                and self.slow_start.fits_budget(now_us, cache, sending_time_us)
             ):
                 return cache
         return None
 
+    def _any_cache_identified(self, now_us: int) -> bool:
+        return any(
+            cache.is_up and self.identity.permits_host(now_us, cache.name) for cache in self.hosts.caches
+        )
+
+    def _any_host_identified(self, now_us: int) -> bool:
+        """Returns True if any host may get attempts as far as its process is concerned."""
+        if self.identity.vouches_for_addresses(now_us):
+            return True
+        origin = self.hosts.usable_origin()
+        direct = [*self.hosts.parents, origin] if self.may_bypass_caches else []
+        return any(
+            host is not None and host.is_up and self.identity.permits_host(now_us, host.name)
+            for host in (*self.hosts.caches, *direct)
+        )
+
+    def hosts_to_connect(self, now_us: int) -> list[str]:
+        """Returns some hosts without a verified connection, while a new connection is still verified by the
+        list: without any, nothing could be served later in an outage of the list's source.
+
+        Each dispatcher begins at another cache, so that they don't all use the same few.
+        """
+        if not self.identity.may_still_verify(now_us):
+            return []
+        caches = self.hosts.caches
+        start = self.dispatcher_index * MIN_VERIFIED_CACHES % max(1, len(caches))
+        origin = self.hosts.usable_origin() if self.may_bypass_caches else None
+        wanted = [*caches[start:], *caches[:start]][:MIN_VERIFIED_CACHES]
+        candidates = [*wanted, origin] if origin is not None else wanted
+        return [
+            host.name
+            for host in candidates
+            if self.health.is_usable(now_us, host) and not self.identity.is_host_verified(host.name)
+        ]
+
     def _attempt_if_permitted(
         self, now_us: int, request: Request, planned: PlannedAttempt
     ) -> PlannedAttempt | None:
@@ -260,6 +309,8 @@
         host, source = planned.host, planned.source
         if not self._takes_attempt(now_us, request, host):
             return None
+        if not self.identity.permits_host(now_us, host.name):
+            return None
         if source is not None and source is not host and not self._takes_attempt(now_us, request, source):
             return None
         return planned if self.retries.may_attempt(now_us, request, host) else None
--- a/hoistplank/decision/router.py
+++ b/hoistplank/decision/router.py
@@ -27,6 +27,7 @@
     Endpoint,
     EndpointsUpdated,
     EndpointWatchFailed,
+    EndpointWatchStage,
     EndpointWatchStageChanged,
     Event,
     EventLoopMeasured,
@@ -96,6 +97,10 @@
         """Returns True if the current endpoint list permits attempts; checked again at the first byte."""
         return self.parts.list_confirmation.permits_attempts(now_us)
 
+    def hosts_to_connect(self, now_us: int) -> list[str]:
+        """Returns the hosts to connect to while the list is not confirmed and still verifies connections."""
+        return self.placement.hosts_to_connect(now_us)
+
     def permits_max_age(self, now_us: int, decided_us: int, request_id: str, max_age_us: int) -> bool:
         """Returns True if no purge since `decided_us` forbids an attempt that accepts copies of up to
         `max_age_us`, 0 for the fresh time of its class; checked again at the first byte."""
@@ -143,7 +148,9 @@
 
     def _on_endpoint_watch_stage_changed(self, now_us: int, event: EndpointWatchStageChanged) -> None:
         self.changed = True
-        self.parts.list_confirmation.observe(now_us, event.stage)
+        self.parts.list_confirmation.observe(now_us, event.stage, event.confirmed_us)
+        if event.stage == EndpointWatchStage.CONFIRMED:
+            self.parts.process_identity.list_confirmed()
         for request in self.waiting.values():
             request.next_placement_us = 0
 
--- a/hoistplank/membership/fallback.py
+++ b/hoistplank/membership/fallback.py
@@ -127,7 +127,7 @@
         if not self._registry.usable_changed or self._registry.is_synced:
             return
         targets = [to_target(row.host, row.started_us) for row in self._registry.usable_hosts()]
-        dispatcher.router_task.submit(EndpointsUpdated(EndpointListForm.UNCONFIRMED, targets))
+        dispatcher.router_task.submit(EndpointsUpdated(EndpointListForm.PROBED, targets))
         dispatcher.provisional |= self._can_serve()
         if now - self._last_logged_us > LOG_INTERVAL_US:
             self._last_logged_us = now
--- a/hoistplank/program/service.py
+++ b/hoistplank/program/service.py
@@ -22,6 +22,7 @@
 from hoistplank.routing.clock import Clock
 from hoistplank.routing.endpoint_watcher import EndpointWatcher
 from hoistplank.routing.frontend import Frontend
+from hoistplank.routing.host_prober import HostProber
 from hoistplank.routing.router_task import RouterTask
 from hoistplank.transport.descriptor_budget import ConnectionKind, DescriptorBudget
 from hoistplank.transport.listener import Listener
@@ -69,6 +70,7 @@
             configuration.load_report_fields,
         )
         self.router_task.pool = self._make_pool()
+        self.host_prober = HostProber(self.router_task, self.router_task.pool)
         self.frontend = self._make_frontend()
         self.endpoint_watcher = self._make_endpoint_watcher()
         self.router_task.standstills.read_pending = self._read_pending
@@ -121,6 +123,8 @@
             ),
             make_answer_reader,
             self._log_closed_by_error,
+            self.router_task.router.parts.process_identity,
+            self.router_task.clock.now,
         )
 
     def _log_closed_by_error(self, host: str, error: BaseException) -> None:
@@ -257,6 +261,7 @@
             self.frontend.sweep()
             if self.router_task.pool is not None:
                 self.router_task.pool.sweep()
+            self.host_prober.tick()
 
     async def _fail_open_requests(self) -> None:
         """Fails the open requests after a task has failed, as far as that still works."""
--- a/hoistplank/program/state_log.py
+++ b/hoistplank/program/state_log.py
@@ -33,6 +33,7 @@
     def __init__(self, program: ObservedProgram) -> None:
         self._program = program
         self._standing = ListStanding.UNWATCHED
+        self._vouched = True
         self._clock_step_us = 0
         self._standing_since = self._counts_logged_at = asyncio.get_running_loop().time()
         self._counts_logged: dict[str, dict[str, int]] = RequestCounts().breakdown()
@@ -43,6 +44,7 @@
         standing = router_task.router.parts.list_confirmation.standing(router_task.clock.now())
         if standing is not self._standing:
             self._log_standing(standing, now)
+        self._log_vouching()
         self._log_clock_step()
         if now - self._counts_logged_at >= COUNTS_INTERVAL_S:
             self._counts_logged_at = now
@@ -62,6 +64,22 @@
             **self.list_fields(),
         )
 
+    def _log_vouching(self) -> None:
+        """Logs that the list became too old for new connections to hosts, or is recent again."""
+        router_task = self._program.router_task
+        identity = router_task.router.parts.process_identity
+        vouched = identity.vouches_for_addresses(router_task.clock.now())
+        if vouched is self._vouched:
+            return
+        self._vouched = vouched
+        if vouched:
+            log.info("endpoint list recent again", **self.list_fields())
+        else:
+            verified = identity.verified_hosts()
+            log.warning(
+                "endpoint list too old for new connections", verified_hosts=verified, **self.list_fields()
+            )
+
     def _log_clock_step(self) -> None:
         step_us = self._program.router_task.clock.step_us()
         if abs(step_us - self._clock_step_us) >= MIN_STEP_US:
--- a/hoistplank/protocol/cachewire.py
+++ b/hoistplank/protocol/cachewire.py
@@ -128,6 +128,11 @@
     return f"DROP {request_id}\r\n".encode("latin-1")
 
 
+def encode_probe(probe_id: str) -> bytes:
+    """Returns a health probe; the cache host answers it under this id, with a status of HEALTH_STATUSES."""
+    return f"PING {probe_id}\r\n".encode("latin-1")
+
+
 class _AnswerHead(msgspec.Struct, frozen=True):
     request_id: str
     status: AnswerStatus
--- a/hoistplank/routing/cache_host_reader.py
+++ b/hoistplank/routing/cache_host_reader.py
@@ -22,6 +22,9 @@
                 # A duplicate answer, one that crossed with its DROP, one to an unknown id, or one to a
                 # request that the host can't have whole does not affect the attempts: it is ignored, and
                 # the connection stays in use.
+                if answer.status in cachewire.HEALTH_STATUSES and pooled.on_probe_answer is not None:
+                    is_healthy = answer.status is cachewire.AnswerStatus.HEALTHY
+                    pooled.on_probe_answer(answer.request_id, is_healthy)
                 attempt = pooled.in_flight.get(answer.request_id)
                 if isinstance(attempt, Attempt) and attempt.transmission.is_written:
                     request = attempt.request
--- a/hoistplank/routing/endpoint_watcher.py
+++ b/hoistplank/routing/endpoint_watcher.py
@@ -99,6 +99,7 @@
         self.confirmed_at = (
             0.0  # loop time at which the log last confirmed that no event is missing; 0: never
         )
+        self._confirmed_us = 0  # time at which the log last confirmed that no event is missing; 0: never
         self._connected_at = 0.0
         self._first_response_at = 0.0  # loop time of the first message in order on this connection
         self._unanswered_connections = 0  # connections in a row without a message in order
@@ -191,6 +192,7 @@
         An event confirms nothing, because others may follow it, among them a drain.
         """
         self.confirmed_at = asyncio.get_running_loop().time()
+        self._confirmed_us = self.receiver.clock.now()
         if self.stage is not EndpointWatchStage.CONFIRMED:
             waited_ms = round((self.confirmed_at - self._connected_at) * 1_000)
             self.rate_limited_log.info("change log confirmed", last=self.last_seq, waited_ms=waited_ms)
@@ -224,7 +226,7 @@
     def _enter_stage(self, stage: EndpointWatchStage) -> None:
         if stage is not self.stage:
             self.stage = stage
-            self.receiver.submit(EndpointWatchStageChanged(stage))
+            self.receiver.submit(EndpointWatchStageChanged(stage, self._confirmed_us))
 
     def read_pending(self) -> None:
         """Reads all data that has arrived from the log.
--- a/hoistplank/transport/pool.py
+++ b/hoistplank/transport/pool.py
@@ -6,6 +6,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from hoistplank.decision.list_confirmation import ListConfirmation
+from hoistplank.decision.process_identity import ProcessIdentity
 from hoistplank.transport.connection import Consume
 from hoistplank.transport.descriptor_budget import ConnectionKind, DescriptorBudget
 from hoistplank.transport.pooled_connection import ANSWER_STALL_S, PooledConnection
@@ -32,7 +34,11 @@
 
 
 class Pool:
-    """All connections to cache hosts, by the uid of the host."""
+    """All connections to cache hosts, by the uid of the host.
+
+    `identity` decides which of them may be used while the endpoint list is not confirmed, by the time that
+    `now_us` returns; without it, all may.
+    """
 
     def __init__(
         self,
@@ -40,8 +46,12 @@
         settings: PoolSettings,
         make_reader: Callable[[PooledConnection], Consume],
         report_error: Callable[[str, BaseException], None],
+        identity: ProcessIdentity | None = None,
+        now_us: Callable[[], int] | None = None,
     ) -> None:
         self.loop = asyncio.get_running_loop()
+        self.identity = identity if identity is not None else ProcessIdentity(ListConfirmation(0))
+        self.now_us = now_us if now_us is not None else lambda: int(self.loop.time() * 1e6)
         self.descriptors, self.make_reader, self.report_error = descriptors, make_reader, report_error
         self.max_requests = max(1, settings.max_requests_per_connection)
         self.idle_s = settings.idle_s * IDLE_TIMEOUT_SHARE
@@ -60,6 +70,8 @@
         an equal share of the descriptors for each host.
         """
         connections = self.connections.setdefault(host, [])
+        if not self.identity.vouches_for_addresses(self.now_us()):
+            return self._send_verified(connections, request)
         best = _least_loaded(connections, request.id)
         if best is None or best.in_flight:
             share = self.descriptors.limits[ConnectionKind.CACHE_HOST] // (len(self.connections) + 1)
@@ -76,15 +88,36 @@
         best.send(request)
         return best
 
+    def _send_verified(
+        self, connections: list[PooledConnection], request: PooledRequest
+    ) -> PooledConnection | None:
+        """Sends a request on a connection that leads to the listed process; no other one may be used now."""
+        best = _least_loaded([pooled for pooled in connections if pooled.is_verified()], request.id)
+        if best is None or len(best.in_flight) >= self.max_requests:
+            return None
+        best.send(request)
+        return best
+
+    def open_connection(self, host: str, address: tuple[str, int]) -> None:
+        """Opens a connection without a request, unless one is being established or no descriptor is left."""
+        connections = self.connections.get(host, [])
+        if any(pooled.connection is None for pooled in connections):
+            return
+        if self.descriptors.acquire(ConnectionKind.CACHE_HOST):
+            self.connections.setdefault(host, []).append(PooledConnection(self, host, address))
+
     def drain(self, host: str) -> None:
         """Sends no new request on the host's present connections; each is closed after its last request."""
         for pooled in list(self.connections.get(host, ())):
-            pooled.is_draining = True
+            pooled.stop_taking_requests()
             if not pooled.in_flight:
                 pooled.close_gracefully()
 
     def sweep(self) -> None:
-        """Closes stalled connections and those idle for `idle_s`; frees buffers and old request ids."""
+        """Closes stalled connections and those idle for `idle_s`; frees buffers and old request ids.
+
+        Idle connections stay while the endpoint list is not confirmed: a new one would prove nothing.
+        """
         now = self.loop.time()
         # After a pause of this process, input that arrived meanwhile is still unread: its answer is not
         # stalled.
@@ -94,10 +127,11 @@
         if is_decay_due and self.connections_per_host > MIN_CONNECTIONS_PER_HOST:
             self.connections_per_host //= 2
             self.connections_per_host_set_at = now
-        for pooled in self._all_connections():
+        keeps_idle = self.identity.list_confirmation.unconfirmed_since_us is not None
+        for pooled in self.all_connections():
             if pooled.is_write_stalled() or (is_on_schedule and pooled.is_answer_stalled()):
                 pooled.close()
-            elif not pooled.in_flight and pooled.idle_since < now - self.idle_s:
+            elif not (pooled.in_flight or keeps_idle) and pooled.idle_since < now - self.idle_s:
                 pooled.close_gracefully()
             else:
                 pooled.release_memory(now)
@@ -106,7 +140,7 @@
         """Closes the connection that has been idle the longest."""
         idle = [
             pooled
-            for pooled in self._all_connections()
+            for pooled in self.all_connections()
             if not pooled.in_flight and pooled.connection is not None
         ]
         if idle:
@@ -114,7 +148,7 @@
 
     def close(self) -> None:
         """Closes all connections at once."""
-        for pooled in self._all_connections():
+        for pooled in self.all_connections():
             pooled.close()
 
     # Called by the connections.
@@ -136,7 +170,8 @@
             if not connections:
                 del self.connections[pooled.host]
 
-    def _all_connections(self) -> list[PooledConnection]:
+    def all_connections(self) -> list[PooledConnection]:
+        """Returns all connections that take requests, the ones being established included."""
         return [pooled for connections in self.connections.values() for pooled in connections]
 
 
--- a/hoistplank/transport/pooled_connection.py
+++ b/hoistplank/transport/pooled_connection.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from typing import Protocol
 
+from hoistplank.decision.process_identity import HostConnection, ProcessIdentity
 from hoistplank.transport.connecting import connect_socket, open_tcp_socket
 from hoistplank.transport.connection import Connection, Consume
 from hoistplank.transport.message_writer import OutgoingMessage
@@ -23,6 +25,10 @@
     loop: asyncio.AbstractEventLoop
     connect_timeout_s: float
     remember_ids_s: float
+    identity: ProcessIdentity
+
+    def now_us(self) -> int:
+        """Returns the time of the decision logic."""
 
     def make_reader(self, pooled: PooledConnection, /) -> Consume:
         """Returns the reader of the connection's answers."""
@@ -53,6 +59,9 @@
         self.is_draining = False  # takes no new requests, and is closed after its last
         self.idle_since = now
         self.connection: Connection | None = None
+        self.record: HostConnection | None = None  # of the established connection
+        # Called with the id and the health in the answer to a health probe.
+        self.on_probe_answer: Callable[[str, bool], None] | None = None
         self._queued: list[PooledRequest] = []  # waiting for the connection to be established
         self._has_left_pool, self._answer_spoiled = False, False
         self.task = pool.loop.create_task(self._run(), name=f"connection to cache host {host}")
@@ -73,7 +82,7 @@
         def may_begin() -> bool:
             if self.in_flight.get(request.id) is not request or not transmission.may_begin:
                 return False  # it ended before its first byte
-            if not request.may_begin():
+            if not (self.may_carry() and request.may_begin()):
                 self._withdraw(request)
                 return False
             transmission.begin()
@@ -89,6 +98,23 @@
         )
         connection.send_message(message)
 
+    def stop_taking_requests(self) -> None:
+        """Takes no new requests from now on; to be closed after the last one."""
+        self.is_draining = True
+        if self.record is not None:
+            self.pool.identity.connection_retired(self.record)
+
+    def may_carry(self) -> bool:
+        """Returns True if requests may be sent here as far as the host's process is concerned."""
+        pool = self.pool
+        if self.record is None:
+            return pool.identity.vouches_for_addresses(pool.now_us())
+        return pool.identity.permits_connection(pool.now_us(), self.record)
+
+    def is_verified(self) -> bool:
+        """True if this is established and known to lead to the process that the endpoint list names."""
+        return self.record is not None and self.pool.identity.is_verified(self.record)
+
     def _withdraw(self, request: PooledRequest) -> None:
         """Ends a request that may not begin."""
         self.finish(request)
@@ -120,7 +146,7 @@
         is_in_flight = self.in_flight.get(request.id) is request
         if self.connection is not None and is_in_flight:
             if self.connection.last_read_at < started_at:
-                self.is_draining = True
+                self.stop_taking_requests()
             if proof is None:
                 self.connection.send(cancel_message)
         # After the message, because `finish` may close a draining connection.
@@ -196,6 +222,7 @@
             return UndeliveredReason.NOT_WRITTEN
         reader = self.pool.make_reader(self)
         self.connection = Connection(sock, reader, MAX_BUFFER_BYTES, MAX_UNSENT_BYTES)
+        self.record = self.pool.identity.connection_established(self.pool.now_us(), self.host)
         queued, self._queued = self._queued, []
         for request in queued:
             self._write(self.connection, request)
@@ -203,10 +230,20 @@
 
     def _on_task_done(self, task: asyncio.Task[UndeliveredReason | None]) -> None:
         """Releases the descriptor and ends the remaining requests; also runs if `_run` never started."""
-        self._has_left_pool = True
+        closed_here, self._has_left_pool = self._has_left_pool, True
         self.pool.discard(self)
         self.pool.connection_ended()
-        self._end_requests(self._reason_if_undelivered(task))
+        reason = self._reason_if_undelivered(task)
+        self._record_end(reason, closed_here=closed_here)
+        self._end_requests(reason)
+
+    def _record_end(self, reason: UndeliveredReason, *, closed_here: bool) -> None:
+        """Records what the end of the connection says about the host's process."""
+        identity, now_us = self.pool.identity, self.pool.now_us()
+        if self.record is not None:
+            identity.connection_ended(now_us, self.record, by_host=not closed_here)
+        elif reason is UndeliveredReason.REFUSED:
+            identity.connection_broken(now_us, self.host)
 
     def _end_requests(self, reason: UndeliveredReason) -> None:
         """Ends the requests in flight, after the connection: those that were not written whole never ran.
--- a/tests/test_transmission.py
+++ b/tests/test_transmission.py
@@ -13,6 +13,8 @@
 from hypothesis import strategies as st
 
 from hoistplank.decision.actions import SendAttempt
+from hoistplank.decision.list_confirmation import ListConfirmation
+from hoistplank.decision.process_identity import ProcessIdentity
 from hoistplank.decision.retries import NEVER_RAN
 from hoistplank.protocol.cachewire import Answer
 from hoistplank.routing.attempt_ending import (
@@ -181,6 +183,10 @@
 
     def __init__(self) -> None:
         self.loop = asyncio.get_running_loop()
+        self.identity = ProcessIdentity(ListConfirmation(0))
+
+    def now_us(self) -> int:
+        return int(self.loop.time() * 1e6)
 
     def make_reader(self, pooled: PooledConnection) -> Any:
         return lambda buffer, start, end: end
