Events of a change log that pauses within each line are received

Cause: `EndpointWatcher` gives a connection up 0.3 s after the last byte of an incomplete line, and requests the same event again from a new connection, on which it stalls at the same place, forever.

Fix and why it works: the timeout of a line doubles with each line that stalled, up to 2.2 s, after which a log counts as silent in any case; after 10 s without a stall it is 0.3 s again. A line whose rest is lost still costs 0.3 s, and a log that pauses for up to 2.2 s within a line is read after 2.1 s of tries at the latest, well within the 7 s after which its changes count as told. Replicas' lines begin at 1 s, as before.

--- a/hoistplank/distribution/follower.py
+++ b/hoistplank/distribution/follower.py
@@ -48,6 +48,7 @@
     EventReceiver,
 )
 from hoistplank.routing.events import Checkpoint, EndpointsUpdated, EndpointWatchFailed, EndpointWatchStage
+from hoistplank.routing.line_stall import LineStallTimeout
 from hoistplank.transport.connecting import connect
 from hoistplank.transport.connection import Connection, Consume
 
@@ -86,7 +87,7 @@
         self.hosts = HostRecord(receiver)
         super().__init__(self.hosts, order[0].address, known, random, grace_s)
         self.random = random
-        self.check_interval_s, self.stall_timeout_s = CHECK_INTERVAL_S, STALLED_LINE_S
+        self.check_interval_s, self.line_stall = CHECK_INTERVAL_S, LineStallTimeout(STALLED_LINE_S)
         self.configurations = ConfigurationApplier(prepare, self)
         self.acknowledgements = AcknowledgementSender(self.state, lambda: self.connection)
         self.loop = asyncio.get_running_loop()
--- a/hoistplank/routing/endpoint_watcher.py
+++ b/hoistplank/routing/endpoint_watcher.py
@@ -23,6 +23,7 @@
     PurgeReceived,
 )
 from hoistplank.routing.events import Event as RouterTaskEvent
+from hoistplank.routing.line_stall import LineStallTimeout
 from hoistplank.routing.rate_limited_log import RateLimitedLog
 from hoistplank.routing.remembered_drains import RememberedDrains
 from hoistplank.transport.connecting import connect
@@ -30,7 +31,7 @@
 
 SILENCE_TIMEOUT_S = 2.2  # the log sends its position each second: two missed ones and a margin
 MAX_SILENCE_FACTOR = 4  # for a log that answered none of the last connections: it may be overloaded
-STALL_TIMEOUT_S = 0.3  # a line is sent in one go: after this long without data, its rest is lost
+STALL_TIMEOUT_S = 0.3  # a line is sent in one go: without data for this long, its rest is usually lost
 CHECK_INTERVAL_S = 0.1
 MAX_BUFFERED_BYTES = changelog.MAX_LINE_BYTES + 65_536  # the longest line and data after it
 LARGE_BUFFER_BYTES = 262_144  # a larger buffer is released once it is empty: few lines are that long
@@ -88,7 +89,7 @@
         chance: Random,
         grace_s: float = 0.25,
     ) -> None:
-        self.check_interval_s, self.stall_timeout_s = CHECK_INTERVAL_S, STALL_TIMEOUT_S
+        self.check_interval_s, self.line_stall = CHECK_INTERVAL_S, LineStallTimeout(STALL_TIMEOUT_S)
         self.max_backoff_s = max(MIN_BACKOFF_S, min(MAX_BACKOFF_S, MAX_BACKOFF_SHARE_OF_GRACE * grace_s))
         self.observer: LogObserver | None = None
         self.receiver, self.address, self.chance = receiver, address, chance.random
@@ -358,7 +359,10 @@
             if self._should_reconnect_for_position(connection):
                 return RECONNECT_FOR_POSITION
             is_silent = silent_s > self._silence_timeout_s()
-            if is_silent or stalled_s > self.stall_timeout_s:
+            is_line_stalled = stalled_s > self.line_stall.timeout_s(loop.time())
+            if is_line_stalled:
+                self.line_stall.record_stall(loop.time())
+            if is_silent or is_line_stalled:
                 # A partial line may be a drain whose rest never arrives on this connection; a new connection
                 # receives it at once.
                 connection.close()
--- a/tests/test_endpoint_watcher.py
+++ b/tests/test_endpoint_watcher.py
@@ -28,6 +28,7 @@
     EndpointWatchStageChanged,
     PurgeReceived,
 )
+from hoistplank.routing.line_stall import LineStallTimeout
 from tests.dispatcher_scene import recorded_call, served, silent
 from tests.helpers import Running, until
 from tests.scene_runner import run_scene
@@ -423,3 +424,38 @@
             assert len(set(origin.connection_of_request)) >= 2
 
     run_scene(scene())
+
+
+def test_events_of_a_log_that_pauses_within_each_line_are_received(tmp_path: Path) -> None:
+    """Guards against a log whose events were never received: a connection was given up 0.3 s into each line,
+    so that a drain stayed unknown for good."""
+
+    async def scene() -> None:
+        second = json.dumps(fleet_event(2, [])).encode() + b"\n"
+
+        async def handle_connection(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            position = int((await reader.readline()).split()[1])
+            if position < 2:
+                writer.write(second[:20])
+                await asyncio.sleep(0.9)
+                writer.write(second[20:])
+            while not writer.is_closing():
+                writer.write(b"2\n")
+                await asyncio.sleep(1)
+
+        address = f"127.0.0.1:{await serve(handle_connection)}"
+        async with Running(tmp_path, {"o": ScriptedCacheHost(silent)}, changelog=address) as dispatcher:
+            await until(lambda: dispatcher.service.endpoint_watcher.last_seq == 2)
+            await until(lambda: dispatcher.service.endpoint_watcher.stage is EndpointWatchStage.CONFIRMED)
+
+    run_scene(scene())
+
+
+def test_timeout_of_a_line_grows_with_the_lines_that_stalled_and_shrinks_after_a_while() -> None:
+    stall = LineStallTimeout(0.3)
+    timeouts = []
+    for now in (1.0, 2.0, 3.0, 4.0, 5.0):
+        timeouts.append(stall.timeout_s(now))
+        stall.record_stall(now)
+    assert timeouts == [0.3, 0.6, 1.2, 2.2, 2.2]
+    assert stall.timeout_s(14.9) == 2.2 and stall.timeout_s(15.1) == 0.3
