A replica that lost the change log adds no host to the list of a dispatcher's start

Cause: `ReplicaFollower` begins with version 0, so it takes any replica's catch-up as newer than `known`, whole list included. A replica without the log sends events and no heartbeat; only the copies' age was bounded by that.

Evidence: the new test in front of the commit before: the host that `known` no longer lists is `ready` again by the replica's list.

Fix and why it works: until a replica's heartbeat names what was received, its list may take hosts from the configuration's list and adds none: a row whose process `known` doesn't name as ready is passed on as draining, and as the replica sent it once the heartbeat is there (`distribution/unproven_rows.py`). A replica that follows the log sends one right behind its list, so nothing waits there. A dispatcher without hosts in its configuration takes what it is sent, as before: it has nothing else to go by.

--- a/hoistplank/distribution/follower.py
+++ b/hoistplank/distribution/follower.py
@@ -38,6 +38,7 @@
 )
 from hoistplank.distribution.replica_selection import ReplicaSelection
 from hoistplank.distribution.silence import SILENCE_US
+from hoistplank.distribution.unproven_rows import UnprovenRows
 from hoistplank.distribution.versions import Version
 from hoistplank.protocol.changelog import Event, Snapshot
 from hoistplank.protocol.errors import ProtocolError
@@ -86,6 +87,8 @@
         self.state = FollowerState(settings.silence_us)
         self.hosts = HostRecord(receiver)
         super().__init__(self.hosts, order[0].address, known, random, grace_s)
+        # Only now, as `known` itself is applied: what replicas send is compared with it.
+        self.hosts.unproven = UnprovenRows(known)
         self.random = random
         self.check_interval_s, self.line_stall = CHECK_INTERVAL_S, LineStallTimeout(STALLED_LINE_S)
         self.configurations = ConfigurationApplier(prepare, self)
@@ -165,6 +168,7 @@
             self._forward(message)
         elif message.catch_up is None:
             if message.version == self.state.received:
+                self.hosts.release_unproven()
                 self._confirm()
             if self.observer is not None:
                 self.observer.confirmed_current()
--- a/tests/test_distribution_failover.py
+++ b/tests/test_distribution_failover.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from hoistplank.distribution.assignment import load_bound
+from hoistplank.distribution.assignment import ReplicaAddress, load_bound
 from hoistplank.fakes.change_log import FakeChangeLog
 from hoistplank.fakes.settings import endpoint_entry, fleet_event
 from hoistplank.fakes.wire import serve
@@ -242,3 +242,42 @@
             await until(lambda: all(one.in_force == at(3) for one in each), patience_s=20)
 
     run_scene(scene(), limit_s=60)
+
+
+def test_replica_that_lost_the_log_adds_no_host_to_a_newer_configuration() -> None:
+    """Guards against work sent to a host that the configuration of a restart no longer names, by the older
+    list of a replica that can't reach the change log: its address was another host's by then."""
+
+    async def scene() -> None:
+        async with Rig(replicas=0) as rig:
+            rig.publish_hosts(1, whole=True, a="ready", b="ready")
+            relay = await Relay(ReplicaAddress("log", "east", ("127.0.0.1", rig.log_port))).start()
+            replica = rig.start_replica("c1", changelog=relay.address.address[1])
+            rig.connect_peers()
+            await until(lambda: replica.is_log_current() and replica.state.is_listed)
+            relay.cut()
+            await until(lambda: not replica.is_log_current())
+            hosts = [Target("b", "127.0.0.1:9"), Target("c", "127.0.0.1:9")]
+            known = Snapshot(3, [Event(1, Fleet(1, True, hosts))])
+            dispatcher = rig.start_dispatcher("d", known=known)
+            await until(lambda: "a" in dispatcher.receiver.hosts)
+            assert dispatcher.receiver.hosts == {"a": "draining", "b": "ready"}
+            assert dispatcher.follower.stage is not EndpointWatchStage.CONFIRMED
+            rig.publish_hosts(2, a="gone")
+            rig.publish_hosts(3, c="ready")
+            relay.restore()
+            await until(lambda: dispatcher.receiver.hosts == {"b": "ready", "c": "ready"})
+
+    run_scene(scene(), limit_s=60)
+
+
+def test_replica_that_follows_the_log_adds_the_hosts_that_the_configuration_lacks() -> None:
+    async def scene() -> None:
+        async with Rig(replicas=1) as rig:
+            rig.publish_hosts(1, whole=True, a="ready", b="ready", c="draining")
+            known = Snapshot(1, [Event(1, Fleet(1, True, [Target("b", "127.0.0.1:9")]))])
+            dispatcher = rig.start_dispatcher("d", known=known)
+            expected = {"a": "ready", "b": "ready", "c": "draining"}
+            await until(lambda: dispatcher.receiver.hosts == expected)
+
+    run_scene(scene(), limit_s=60)
