What clients make a process hold has one bound, set by the memory limit

What callers saw: a process passed its memory limit and was killed while hundreds of clients had stopped half way through a large request, and all clients of that process lost their connections.

Cause: the bytes of a record that is not complete lie in the connection's buffer, which grows to 128 KB by doubling and was in no count: `count_held_bytes` knew what the FastCGI reader holds, an eighth of the limit, and unsent answers had a quarter of their own, looked at ten times a second. The bounds did not know what the program itself takes, either.

Fix: `routing/client_memory.py` counts all that a client makes the process hold (unread input, requests, unsent answers) against one bound: a quarter of the limit, or half of what the program leaves of it if that is less, a thirty-second at least. Above it a quarter of it is freed at once, of those first by which most is gained: bytes by the time for which they have been held, less for a client that has sent a valid request; a client that is reading its answers is spared. A client's connection reads into a buffer that all share and keeps the unread bytes alone (`transport/shared_buffer.py`), so 3 bytes are 3 bytes and not 8 KB.

Why it works: the count is taken where the bytes are, whatever they are part of, and is checked with each read and each answer.

--- a/hoistplank/degradation/service.py
+++ b/hoistplank/degradation/service.py
@@ -5,7 +5,6 @@
 
 import asyncio
 import enum
-import os
 from collections import deque
 from collections.abc import Callable, Coroutine
 from typing import Any, Protocol
@@ -20,6 +19,7 @@
 from hoistplank.degradation.status import DegradationStatus, degradation_status
 from hoistplank.operator_configuration.schema import Section
 from hoistplank.program.configuration import Configuration
+from hoistplank.routing.client_memory import resident_bytes
 from hoistplank.routing.events import DegradationChanged
 from hoistplank.routing.router_task import RouterTask
 from hoistplank.transport.descriptor_budget import DescriptorBudget
@@ -27,8 +27,6 @@
 log = structlog.get_logger()
 
 MAX_REPORTED_CHANGES = 64  # the latest ones
-PAGE_BYTES = os.sysconf("SC_PAGE_SIZE") if hasattr(os, "sysconf") else 4_096
-RESIDENT_PAGES_FIELD = 1  # of /proc/self/statm
 
 
 class Dispatcher(Protocol):
@@ -49,12 +47,7 @@
 
 def resident_share(memory_mb: int) -> float:
     """Returns the resident memory of this process as a share of `memory_mb`, or 0 if it can't be read."""
-    try:
-        with open("/proc/self/statm", "rb") as file:
-            pages = int(file.read().split()[RESIDENT_PAGES_FIELD])
-    except (OSError, ValueError, IndexError):
-        return 0.0
-    return pages * PAGE_BYTES / (memory_mb << 20)
+    return resident_bytes() / (memory_mb << 20)
 
 
 class DegradationService:
--- a/hoistplank/program/service.py
+++ b/hoistplank/program/service.py
@@ -275,8 +275,8 @@
         log.info(
             "resource limits derived",
             **{_descriptors_field(kind): limit for kind, limit in self.descriptors.limits.items()},
-            waiting_answers_kb=self.frontend.max_unsent_bytes >> 10,
-            open_requests_kb=self.frontend.max_held_bytes >> 10,
+            waiting_answers_kb=self.frontend.memory.limit_bytes >> 10,
+            open_requests_kb=self.frontend.memory.limit_bytes >> 10,
         )
         if self.configuration.memory_mb < MIN_MEMORY_MB:
             log.warning(
--- a/hoistplank/routing/client_session.py
+++ b/hoistplank/routing/client_session.py
@@ -28,6 +28,11 @@
 MAX_UNSENT_BEFORE_PAUSE_BYTES = MAX_UNSENT_BYTES + MAX_REQUESTS * 245_760
 DEFERRED_ANSWER_US = 250_000  # a deferred request is submitted this long before its deadline
 SHED_READ_PAUSE_S = 0.02  # reading pause of a connection after one of its requests was shed
+# The order in which clients release memory: new holdings count as this old, those of a client that has sent
+# valid requests count less.
+MIN_HELD_S = 0.05
+SERVED_CLIENT_WEIGHT = 0.25
+SLOW_READER_S = 0.05  # without a whole answer written for this long, a client is not reading
 
 ConnectionFactory = Callable[[socket.socket, Consume, int, int], Connection]
 
@@ -45,8 +50,11 @@
     def shed(self, number: int, script: bytes) -> bytes | None:
         """Returns the answer to a request that is shed as it begins; None if the request is to be read."""
 
-    def count_held_bytes(self, more: int) -> None:
-        """Adds `more` (negative: fewer) bytes to the count of bytes held by requests."""
+    def count_held_bytes(self, session: ClientSession) -> None:
+        """Counts what a session holds now; above the bound, some sessions are made to release theirs."""
+
+    def session_ended(self, session: ClientSession) -> None:
+        """Removes a session whose connection has ended."""
 
 
 class ClientSession:
@@ -73,7 +81,6 @@
         self.is_closing = False  # it closes once nothing is pending on it
         self.has_failed = False  # its input is unusable: nothing more is read
         self.has_sent_request = False  # it sent a valid request, or one that was shed
-        self.reported_held_bytes = 0  # bytes held by its requests, as last reported to the frontend
         self.unfinished = UnfinishedRequests()  # as the last sweep found them
         self.connection = make_connection(sock, self.consume, MAX_RECORD_BYTES, MAX_UNSENT_BEFORE_PAUSE_BYTES)
         loop = asyncio.get_running_loop()
@@ -106,7 +113,7 @@
         return end
 
     def _read_ended(self, shed_before: int) -> None:
-        self._count_held_bytes()
+        self.frontend.count_held_bytes(self)
         self._throttle_misuse()
         if self.reader.close_requested:
             asyncio.get_running_loop().call_soon(self.close_when_idle)
@@ -128,11 +135,6 @@
             )
             self.connection.pause_reading(pause_s)
 
-    def _count_held_bytes(self) -> None:
-        more = self.reader.held_bytes - self.reported_held_bytes
-        self.reported_held_bytes = self.reader.held_bytes
-        self.frontend.count_held_bytes(more)
-
     def _request_received(self, received: fastcgi.FastCgiRequest, *, is_last: bool) -> None:
         """Handles a complete request; `is_last` says that no further data was read after it."""
         response = FastCgiResponse(self, received.number, received.keep_connection)
@@ -199,8 +201,8 @@
             return
         del self.open_requests[response.number]
         self.reader.release(response.number)
-        self._count_held_bytes()
         self.connection.send(data)
+        self.frontend.count_held_bytes(self)
         if request is not None:
             self.intake.ended(request)
         if not response.keep_connection:
@@ -231,9 +233,9 @@
         self.frontend.rate_limited_log.warning("unusable input, closing client connection", wrong=reason)
         self._fail_open_requests()
         self.reader.release_all()
-        self._count_held_bytes()
         self.connection.stop_reading()
         self.connection.close_gracefully()
+        self.frontend.count_held_bytes(self)
 
     def _fail_open_requests(self) -> None:
         for number, request in list(self.open_requests.items()):
@@ -243,20 +245,47 @@
             self.open_requests.pop(number, None)
         self.deferred.clear()
 
-    def release_memory(self) -> None:
-        """Fails the open requests of this client, whose requests hold the most memory of all.
+    # Memory.
+
+    def held_bytes(self) -> int:
+        """Returns the bytes that this client makes the process hold: what it sent, and answers that it has
+        not read."""
+        connection = self.connection
+        return self.reader.held_bytes + connection.held_input_bytes() + connection.unsent_bytes
+
+    def release_priority(self, now: float) -> float:
+        """Returns how much is gained by releasing this client's memory: bytes by the time for which they have
+        been held, so that young requests and answers on their way to the client come last."""
+        held_s = max(self.unfinished.longest_s(now), self.connection.write_stalled_s(now))
+        weight = SERVED_CLIENT_WEIGHT if self.has_sent_request else 1.0
+        return self.held_bytes() * (MIN_HELD_S + held_s) * weight
+
+    def release_memory(self, now: float) -> None:
+        """Fails the open requests of this client, and closes its connection if that doesn't help much.
 
-        The connection stays open, because further requests of the client may be unread and each complete
-        request must be answered. It is closed if unfinished requests hold most of the memory.
+        The connection stays open if it does, because further requests of the client may be unread and each
+        complete request must be answered. A client that is reading its answers is spared.
         """
+        input_bytes = self.reader.held_bytes + self.connection.held_input_bytes()
+        unsent_bytes = self.connection.unsent_bytes
+        if unsent_bytes > input_bytes:
+            self._close_if_slow_reader(now)
+            return
         self.frontend.rate_limited_log.warning(
-            "memory limit of requests exceeded, failing open requests", bytes=self.reader.held_bytes
+            "memory limit of requests exceeded, failing open requests", bytes=input_bytes
         )
-        held_bytes = self.reader.held_bytes
         self._fail_open_requests()
-        if self.reader.held_bytes > held_bytes // 2:
+        if self.reader.held_bytes + self.connection.held_input_bytes() > input_bytes // 2:
             self.close_with_failure("unfinished requests hold too much memory")
 
+    def _close_if_slow_reader(self, now: float) -> None:
+        if self.connection.write_stalled_s(now) < SLOW_READER_S:
+            return
+        self.frontend.rate_limited_log.warning(
+            "closing connection of slow-reading client", bytes=self.connection.unsent_bytes
+        )
+        self.connection.close()
+
     def close_when_idle(self, *, even_if_silent: bool = True) -> None:
         """Closes the connection once all open requests are answered and the answers are written."""
         self.is_closing, self.connection.on_all_written = True, self._on_all_written
@@ -264,10 +293,8 @@
             self.connection.close_gracefully()
 
     def _ended(self, task: asyncio.Task[BaseException | None]) -> None:
-        self.frontend.sessions.pop(self, None)
+        self.frontend.session_ended(self)
         self.frontend.descriptors.release(ConnectionKind.CLIENT)
-        self.reader.held_bytes = 0
-        self._count_held_bytes()
         error = None if task.cancelled() else task.exception() or task.result()
         if error is not None and not isinstance(error, OSError):
             self.frontend.rate_limited_log.warning(
--- a/hoistplank/routing/frontend.py
+++ b/hoistplank/routing/frontend.py
@@ -8,22 +8,20 @@
 
 from hoistplank.decision.settings import RouterSettings
 from hoistplank.protocol import fastcgi
+from hoistplank.routing.client_memory import ClientMemory, client_memory_bytes, resident_bytes
 from hoistplank.routing.client_session import ClientSession, ConnectionFactory
 from hoistplank.routing.rate_limited_log import RateLimitedLog
 from hoistplank.routing.request_intake import HEALTH_PATH, Authorizer, RequestIntake
 from hoistplank.routing.response import retry_after_fields
 from hoistplank.routing.router_task import RouterTask
-from hoistplank.transport.connection import Connection
 from hoistplank.transport.descriptor_budget import ConnectionKind, DescriptorBudget
+from hoistplank.transport.shared_buffer import SharedBufferConnection
 
 IDLE_TIMEOUT_S = 8.0  # clients close an idle connection after half of it
 # A connection must end within 3 s if no request on it is completed; the rest is for a sweep and the close.
 UNFINISHED_TIMEOUT_S = 2.0
 LAST_ANSWER_ARRIVED_S = 0.1  # an idle client has received its last answer this long after its last request
 NEW_CONNECTION_S = 0.05  # the first bytes of a connection younger than this may be in transit
-# Shares of the memory limit: a quarter for unsent answers, an eighth for unfinished and open requests.
-UNSENT_BYTES_PER_MB = 1 << 18
-HELD_BYTES_PER_MB = 1 << 17
 
 MAX_PENDING_READS = 16  # per client, after a standstill
 
@@ -52,14 +50,13 @@
         self.sessions: dict[ClientSession, None] = {}  # in order of acceptance
         self.rate_limited_log = RateLimitedLog()
         self.unfinished_timeout_s = UNFINISHED_TIMEOUT_S
-        self.max_unsent_bytes = memory_mb * UNSENT_BYTES_PER_MB
-        self.max_held_bytes = memory_mb * HELD_BYTES_PER_MB
-        self.held_bytes = 0
+        max_connections = descriptors.limits[ConnectionKind.CLIENT]
+        self.memory = ClientMemory(client_memory_bytes(memory_mb << 20, resident_bytes(), max_connections))
         descriptors.reclaimers[ConnectionKind.CLIENT] = self.reclaim
         self.shed_head = fastcgi.encode_head(503, retry_after_fields(router_task.retry_after_us))
 
     def serve(
-        self, sock: socket.socket, peer: str = "", make_connection: ConnectionFactory = Connection
+        self, sock: socket.socket, peer: str = "", make_connection: ConnectionFactory = SharedBufferConnection
     ) -> ClientSession:
         """Starts a session for an accepted connection from the address `peer`."""
         session = ClientSession(self, sock, peer, make_connection)
@@ -76,13 +73,20 @@
             return None
         return fastcgi.encode_response_without_body(number, self.shed_head)
 
-    def count_held_bytes(self, more: int) -> None:
-        """Counts the bytes held by unfinished and open requests; above the limit, the open requests of the
-        client that holds the most are failed."""
-        self.held_bytes += more
-        if more > 0 and self.held_bytes > self.max_held_bytes:
-            largest = max(self.sessions, key=lambda session: session.reader.held_bytes)
-            largest.release_memory()
+    @property
+    def held_bytes(self) -> int:
+        """The bytes that all clients hold now."""
+        return sum(session.held_bytes() for session in self.sessions)
+
+    def count_held_bytes(self, session: ClientSession) -> None:
+        """Counts what a session holds now; above the bound, some sessions are made to release theirs."""
+        if session in self.sessions and self.memory.update(session):
+            self.memory.release(asyncio.get_running_loop().time())
+
+    def session_ended(self, session: ClientSession) -> None:
+        """Removes a session whose connection has ended."""
+        self.sessions.pop(session, None)
+        self.memory.remove(session)
 
     def read_pending(self) -> None:
         """Reads from clients with open requests: some may have disconnected during a standstill."""
@@ -92,11 +96,13 @@
     # The sweep.
 
     def sweep(self) -> None:
-        """Closes idle and timed-out connections, and the slowest readers if too much data is unsent."""
+        """Closes idle and timed-out connections, and counts what was written since the last sweep."""
         now = asyncio.get_running_loop().time()
         for session in list(self.sessions):
             self._sweep_session(session, now)
-        self._close_slow_readers()
+            self.memory.update(session)
+        if self.memory.held_bytes > self.memory.limit_bytes:
+            self.memory.release(now)
 
     def _sweep_session(self, session: ClientSession, now: float) -> None:
         connection = session.connection
@@ -112,19 +118,6 @@
             session.submit_expiring(self.router_task.clock.now())
             connection.release_buffer()
 
-    def _close_slow_readers(self) -> None:
-        total = sum(session.connection.unsent_bytes for session in self.sessions)
-        if total <= self.max_unsent_bytes:
-            return
-        by_unsent_bytes = sorted(self.sessions, key=lambda session: session.connection.unsent_bytes)
-        while total > self.max_unsent_bytes:
-            slowest = by_unsent_bytes.pop()
-            total -= slowest.connection.unsent_bytes
-            self.rate_limited_log.warning(
-                "closing connection of slow-reading client", bytes=slowest.connection.unsent_bytes
-            )
-            slowest.connection.close()
-
     # Descriptors.
 
     def reclaim(self) -> None:
--- a/hoistplank/routing/unfinished_requests.py
+++ b/hoistplank/routing/unfinished_requests.py
@@ -22,6 +22,10 @@
         """Takes all requests that are unfinished now."""
         self._since = {record: self._since.get(record, now) for record in began_at}
 
+    def longest_s(self, now: float) -> float:
+        """Returns how long the oldest of them has been unfinished, 0 if there is none."""
+        return max((now - since for since in self._since.values()), default=0.0)
+
     def is_stalled(self, now: float, timeout_s: float) -> bool:
         """Returns whether one of them has been unfinished for longer than `timeout_s`."""
         return any(now - since > timeout_s for since in self._since.values())
--- a/hoistplank/transport/connection.py
+++ b/hoistplank/transport/connection.py
@@ -99,6 +99,10 @@
 
     # Reading.
 
+    def held_input_bytes(self) -> int:
+        """Returns the size of the buffer."""
+        return len(self.buffer)
+
     def release_buffer(self) -> None:
         """Frees the buffer if it is empty."""
         if self.start == self.end and self.buffer:
--- a/hoistplank/transport/message_writer.py
+++ b/hoistplank/transport/message_writer.py
@@ -104,7 +104,11 @@
 
     def is_write_stalled(self) -> bool:
         """True if a write has been pending for WRITE_STALL_S without completing a message."""
-        return self._write_stalled_at > 0 and self.loop.time() - self._write_stalled_at > WRITE_STALL_S
+        return self.write_stalled_s(self.loop.time()) > WRITE_STALL_S
+
+    def write_stalled_s(self, now: float) -> float:
+        """Returns for how long a write has been pending without completing a message, 0 if none is."""
+        return now - self._write_stalled_at if self._write_stalled_at > 0 else 0.0
 
     def _stop_writing(self) -> None:
         if self._is_awaiting_writable:
--- a/hoistplank/transport/tls.py
+++ b/hoistplank/transport/tls.py
@@ -47,6 +47,10 @@
         self._incoming, self._outgoing = ssl.MemoryBIO(), ssl.MemoryBIO()
         self._tls = context.wrap_bio(self._incoming, self._outgoing, server_side=True)
 
+    def held_input_bytes(self) -> int:
+        """Returns the size of the buffer, and of the encrypted input of an incomplete record."""
+        return super().held_input_bytes() + self._incoming.pending
+
     async def run(self) -> BaseException | None:
         """Serves until either side ends the connection; returns the error that ended it, or None."""
         try:
