Unusable input of many connections has one allowance, and a head's fields have a bound

What callers saw: while others sent requests that nothing can use at full speed, answers came after 3 s, not at all, or as 503, and the process grew beyond its memory limit; so with 340 connections that sent heads of very many short fields.

Cause: each connection had an allowance of its own, so that of 50 was 50 times that of one; a read of 8 KB is never divided, and costs up to 512 replies. Each reply was a message of its own: 16 bytes in, some 300 bytes held, of which the bound on unsent answers counted 24. And what a head's fields cost (4 ms for 7,750 of four bytes) was spent before anything decided whether it may.

Reads are of 1 KB until the first valid request and while a connection misuses the protocol. The replies to one read are one message, a waiting message counts 256 bytes beside its data, and a connection that misuses and doesn't read its replies isn't read. A stream of more than 256 name-value pairs is refused (400) where the 257th begins; a large invalid request costs its sender more; health checks draw on the connection's allowance.

Why it works: what misuse costs is bounded over all that misuse, not for each; requests in order never wait for it.

--- a/hoistplank/protocol/fastcgi/records.py
+++ b/hoistplank/protocol/fastcgi/records.py
@@ -19,6 +19,8 @@
 # Version, type, request number, content length, padding length.
 HEADER = struct.Struct(">BBHHBx")
 MAX_CONTENT_BYTES = 65_535
+# Web servers send some forty parameters and one for each header field. Decoding takes a time for each one.
+MAX_PAIRS = 256
 _END_REQUEST_BODY = struct.Struct(">IB3x")  # application status, protocol status
 _SHORT_LENGTH = 0x80  # a shorter length takes one byte, others take four with the top bit set
 _LONG_LENGTH_BIT = 0x80000000
@@ -47,7 +49,7 @@
 
 def decode_pairs(data: bytes | bytearray) -> list[tuple[str, str]]:
     """Returns the name-value pairs of a stream as Latin-1 text; raises FastCgiError if a length does not
-    fit."""
+    fit, or if there are more than MAX_PAIRS."""
     pairs, position, size = list[tuple[str, str]](), 0, len(data)
     text = data.decode("latin-1")  # decoded once: each byte is one character
     while position < size:
@@ -63,6 +65,8 @@
         value_end = value_start + value_length
         if value_end > size:
             raise FastCgiError("a parameter is longer than the rest of its stream")
+        if len(pairs) == MAX_PAIRS:
+            raise FastCgiError(f"a stream has more than {MAX_PAIRS} parameters")
         pairs.append((text[position:value_start], text[value_start:value_end]))
         position = value_end
     return pairs
--- a/hoistplank/routing/client_memory.py
+++ b/hoistplank/routing/client_memory.py
@@ -15,6 +15,8 @@
 # Once the bound is exceeded, so much of it is freed at once: a search for each further byte would cost the
 # core.
 RELEASED_SHARE = 1 / 4
+# Above this multiple of the bound, nobody is spared any more.
+URGENT_FACTOR = 2
 
 
 def client_memory_bytes(memory_limit_bytes: int, resident_bytes: int, max_connections: int) -> int:
@@ -42,8 +44,8 @@
     def release_priority(self, now: float) -> float:
         """Returns how much is gained by releasing this client's memory: higher is sooner."""
 
-    def release_memory(self, now: float) -> None:
-        """Releases what this client holds, if it is to blame for it."""
+    def release_memory(self, now: float, *, is_urgent: bool) -> None:
+        """Releases what this client holds; unless it is urgent, only if this client is to blame for it."""
 
 
 class ClientMemory:
@@ -79,16 +81,21 @@
             self._count_again(list(self._counted))
             if self.held_bytes <= self.limit_bytes:
                 return
-            target = self.limit_bytes * (1 - RELEASED_SHARE)
-            by_priority = sorted(self._counted, key=lambda holder: holder.release_priority(now), reverse=True)
-            for holder in by_priority:
-                if self.held_bytes <= target:
-                    break
-                holder.release_memory(now)
-                self._count_again((holder,))
+            self._release_until(self.limit_bytes * (1 - RELEASED_SHARE), now, is_urgent=False)
+            self._release_until(self.limit_bytes * URGENT_FACTOR, now, is_urgent=True)
         finally:
             self._is_releasing = False
 
+    def _release_until(self, target_bytes: float, now: float, *, is_urgent: bool) -> None:
+        if self.held_bytes <= target_bytes:
+            return
+        by_priority = sorted(self._counted, key=lambda holder: holder.release_priority(now), reverse=True)
+        for holder in by_priority:
+            if self.held_bytes <= target_bytes:
+                break
+            holder.release_memory(now, is_urgent=is_urgent)
+            self._count_again((holder,))
+
     def _count_again(self, holders: Iterable[MemoryHolder]) -> None:
         """Counts clients of which a part may have been written to the system since."""
         for holder in holders:
--- a/hoistplank/routing/client_session.py
+++ b/hoistplank/routing/client_session.py
@@ -11,14 +11,14 @@
 from hoistplank.protocol.errors import ProtocolError
 from hoistplank.routing.attempts import Request
 from hoistplank.routing.events import ClientDisconnected, RequestArrived
-from hoistplank.routing.misuse_throttle import MisuseThrottle
+from hoistplank.routing.misuse_throttle import MisuseBudget, MisuseThrottle
 from hoistplank.routing.rate_limited_log import RateLimitedLog
 from hoistplank.routing.request_intake import RequestIntake, is_health_check
 from hoistplank.routing.response import FastCgiResponse
 from hoistplank.routing.router_task import RouterTask
 from hoistplank.routing.standstill import unread_for_us
 from hoistplank.routing.unfinished_requests import UnfinishedRequests
-from hoistplank.transport.connection import Connection, Consume
+from hoistplank.transport.connection import INITIAL_BUFFER_BYTES, Connection, Consume
 from hoistplank.transport.descriptor_budget import ConnectionKind, DescriptorBudget
 
 MAX_REQUESTS = 32  # open requests per connection
@@ -32,6 +32,10 @@
 # valid requests count less.
 MIN_HELD_S = 0.05
 SERVED_CLIENT_WEIGHT = 0.25
+# Reads are this small before a connection's first valid request, and while it misuses the protocol; then they
+# also wait while it doesn't read the replies.
+UNTRUSTED_READ_BYTES = 1_024
+MAX_UNSENT_REPLY_BYTES, UNSENT_REPLY_PAUSE_S = 65_536, 0.1
 SLOW_READER_S = 0.05  # without a whole answer written for this long, a client is not reading
 
 ConnectionFactory = Callable[[socket.socket, Consume, int, int], Connection]
@@ -45,6 +49,7 @@
     descriptors: DescriptorBudget
     rate_limited_log: RateLimitedLog
     sessions: dict[ClientSession, None]
+    misuse_budget: MisuseBudget
     unfinished_timeout_s: float  # time limit for a request to arrive completely
 
     def shed(self, number: int, script: bytes) -> bytes | None:
@@ -83,9 +88,10 @@
         self.has_sent_request = False  # it sent a valid request, or one that was shed
         self.unfinished = UnfinishedRequests()  # as the last sweep found them
         self.connection = make_connection(sock, self.consume, MAX_RECORD_BYTES, MAX_UNSENT_BEFORE_PAUSE_BYTES)
+        self.connection.max_read_bytes = UNTRUSTED_READ_BYTES
         loop = asyncio.get_running_loop()
         self.opened_at = loop.time()
-        self.misuse_throttle = MisuseThrottle(self.opened_at)
+        self.misuse_throttle = MisuseThrottle(self.opened_at, frontend.misuse_budget)
         self.task = loop.create_task(self.connection.run(), name="client connection")
         self.task.add_done_callback(self._ended)
 
@@ -94,24 +100,34 @@
     def consume(self, buffer: bytearray, start: int, end: int) -> int:
         """Handles the complete requests between start and end; returns up to where the buffer is consumed."""
         shed_before = self.reader.shed_count
+        replies: list[bytes] = []  # of the protocol; sent together, as a message each costs much more
         try:
             while not self.has_failed:
                 start, events = self.reader.read(buffer, start, end)
                 if not events:
                     return start
                 for event in events:
-                    if isinstance(event, fastcgi.RequestReceived):
-                        self._request_received(event.request, is_last=start == end)
-                    elif isinstance(event, fastcgi.ProtocolReply):
-                        self.connection.send(event.data)
-                    else:
-                        self._request_aborted(event)
+                    if isinstance(event, fastcgi.ProtocolReply):
+                        replies.append(event.data)
+                        continue
+                    if isinstance(event, fastcgi.RequestAborted):
+                        replies.append(self._request_aborted(event))
+                        continue
+                    self._send_replies(replies)
+                    self._request_received(event.request, is_last=start == end)
         except ProtocolError as error:
+            self._send_replies(replies)
             self.close_with_failure(str(error))
         finally:
+            self._send_replies(replies)
             self._read_ended(shed_before)
         return end
 
+    def _send_replies(self, replies: list[bytes]) -> None:
+        if replies:
+            self.connection.send(b"".join(replies))
+            replies.clear()
+
     def _read_ended(self, shed_before: int) -> None:
         self.frontend.count_held_bytes(self)
         self._throttle_misuse()
@@ -129,6 +145,11 @@
         """Reads later what follows, if too much of the input was unusable; what was read is answered."""
         now = asyncio.get_running_loop().time()
         pause_s = self.misuse_throttle.pause_s(now, self.reader.stray_records)
+        is_misusing = self.misuse_throttle.is_misusing
+        is_trusted = self.has_sent_request and not is_misusing
+        self.connection.max_read_bytes = INITIAL_BUFFER_BYTES if is_trusted else UNTRUSTED_READ_BYTES
+        if is_misusing and self.connection.unsent_bytes > MAX_UNSENT_REPLY_BYTES:
+            pause_s = max(pause_s, UNSENT_REPLY_PAUSE_S)
         if pause_s > 0:
             self.frontend.rate_limited_log.warning(
                 "unusable input, reading of client connection paused", stray_records=self.reader.stray_records
@@ -145,7 +166,7 @@
             fields = received.parameters()
             if is_health_check(fields):
                 self.has_sent_request = True
-                self.misuse_throttle.record_valid_request()
+                self.misuse_throttle.record_health_check()
                 self.intake.answer_health_check(response)
                 return
             standstills = self.frontend.router_task.standstills
@@ -178,17 +199,18 @@
         the rest of it would have to be read."""
         self.frontend.rate_limited_log.warning("invalid request rejected", wrong=error)
         response.send(400, (), b"")
-        self.misuse_throttle.record_invalid_request()
+        self.misuse_throttle.record_invalid_request(len(received.params) + len(received.body))
         if received.error:
             self.close_with_failure(error)
 
-    def _request_aborted(self, event: fastcgi.RequestAborted) -> None:
+    def _request_aborted(self, event: fastcgi.RequestAborted) -> bytes:
+        """Ends a request that its client has aborted; returns the reply."""
         request = self.open_requests.pop(event.number, None)
         if request is not None:
             self.deferred.pop(event.number, None)
             self.frontend.router_task.submit(ClientDisconnected(request))
             self.intake.ended(request)
-        self.connection.send(fastcgi.encode_end_request(event.number, 1))
+        return fastcgi.encode_end_request(event.number, 1)
 
     # Output.
 
@@ -251,7 +273,7 @@
         """Returns the bytes that this client makes the process hold: what it sent, and answers that it has
         not read."""
         connection = self.connection
-        return self.reader.held_bytes + connection.held_input_bytes() + connection.unsent_bytes
+        return self.reader.held_bytes + connection.held_input_bytes() + connection.held_output_bytes()
 
     def release_priority(self, now: float) -> float:
         """Returns how much is gained by releasing this client's memory: bytes by the time for which they have
@@ -260,16 +282,16 @@
         weight = SERVED_CLIENT_WEIGHT if self.has_sent_request else 1.0
         return self.held_bytes() * (MIN_HELD_S + held_s) * weight
 
-    def release_memory(self, now: float) -> None:
+    def release_memory(self, now: float, *, is_urgent: bool) -> None:
         """Fails the open requests of this client, and closes its connection if that doesn't help much.
 
         The connection stays open if it does, because further requests of the client may be unread and each
-        complete request must be answered. A client that is reading its answers is spared.
+        complete request must be answered. A client that is reading its answers is spared unless it is urgent.
         """
         input_bytes = self.reader.held_bytes + self.connection.held_input_bytes()
-        unsent_bytes = self.connection.unsent_bytes
-        if unsent_bytes > input_bytes:
-            self._close_if_slow_reader(now)
+        if self.connection.held_output_bytes() > input_bytes:
+            if is_urgent or self.connection.write_stalled_s(now) >= SLOW_READER_S:
+                self._close_slow_reader()
             return
         self.frontend.rate_limited_log.warning(
             "memory limit of requests exceeded, failing open requests", bytes=input_bytes
@@ -278,9 +300,7 @@
         if self.reader.held_bytes + self.connection.held_input_bytes() > input_bytes // 2:
             self.close_with_failure("unfinished requests hold too much memory")
 
-    def _close_if_slow_reader(self, now: float) -> None:
-        if self.connection.write_stalled_s(now) < SLOW_READER_S:
-            return
+    def _close_slow_reader(self) -> None:
         self.frontend.rate_limited_log.warning(
             "closing connection of slow-reading client", bytes=self.connection.unsent_bytes
         )
--- a/hoistplank/routing/frontend.py
+++ b/hoistplank/routing/frontend.py
@@ -10,6 +10,7 @@
 from hoistplank.protocol import fastcgi
 from hoistplank.routing.client_memory import ClientMemory, client_memory_bytes, resident_bytes
 from hoistplank.routing.client_session import ClientSession, ConnectionFactory
+from hoistplank.routing.misuse_throttle import MisuseBudget
 from hoistplank.routing.rate_limited_log import RateLimitedLog
 from hoistplank.routing.request_intake import HEALTH_PATH, Authorizer, RequestIntake
 from hoistplank.routing.response import retry_after_fields
@@ -49,6 +50,7 @@
         self.class_by_script = self.intake.parser.script_names()
         self.sessions: dict[ClientSession, None] = {}  # in order of acceptance
         self.rate_limited_log = RateLimitedLog()
+        self.misuse_budget = MisuseBudget(asyncio.get_running_loop().time())
         self.unfinished_timeout_s = UNFINISHED_TIMEOUT_S
         max_connections = descriptors.limits[ConnectionKind.CLIENT]
         self.memory = ClientMemory(client_memory_bytes(memory_mb << 20, resident_bytes(), max_connections))
--- a/hoistplank/transport/connection.py
+++ b/hoistplank/transport/connection.py
@@ -59,6 +59,8 @@
         self.last_read_at = self.loop.time()
         # Per readable event; more than 1 where input must be processed before all other work.
         self.max_reads_at_once = 1
+        # In one read; only connections that read into a shared buffer follow it.
+        self.max_read_bytes = INITIAL_BUFFER_BYTES
         self.read_count = 0
         self.drained_at = 0.0  # loop time at which the socket was last found empty; 0: never
         self.is_closing = False  # True once `close_gracefully` has been called
--- a/hoistplank/transport/message_writer.py
+++ b/hoistplank/transport/message_writer.py
@@ -12,6 +12,7 @@
 
 # A peer that takes no whole message for this long counts as gone; longer than the longest deadline.
 WRITE_STALL_S = 15.0
+MESSAGE_BYTES = 256  # of a waiting message beside its data
 
 
 class ConnectionState(enum.Enum):
@@ -102,6 +103,10 @@
             self._is_flush_scheduled = True
             self.loop.call_soon(self._flush)
 
+    def held_output_bytes(self) -> int:
+        """Returns the memory that the messages take which the kernel has not taken completely."""
+        return self.unsent_bytes + MESSAGE_BYTES * len(self._unsent)
+
     def is_write_stalled(self) -> bool:
         """True if a write has been pending for WRITE_STALL_S without completing a message."""
         return self.write_stalled_s(self.loop.time()) > WRITE_STALL_S
--- a/hoistplank/transport/shared_buffer.py
+++ b/hoistplank/transport/shared_buffer.py
@@ -5,7 +5,7 @@
 import contextlib
 from collections.abc import Iterator
 
-from hoistplank.transport.connection import INITIAL_BUFFER_BYTES, Connection
+from hoistplank.transport.connection import Connection
 from hoistplank.transport.errors import MessageTooLongError
 
 # Buffers that are not in use: one, unless a connection reads while another one consumes its input.
@@ -23,7 +23,7 @@
             raise MessageTooLongError(self.max_buffer_bytes)
         with _borrowed_buffer(self.max_buffer_bytes) as buffer:
             buffer[:unread] = self.buffer[self.start : self.end]
-            end = min(self.max_buffer_bytes, unread + max(INITIAL_BUFFER_BYTES, unread))
+            end = min(self.max_buffer_bytes, unread + max(self.max_read_bytes, unread))
             with memoryview(buffer) as view, view[unread:end] as free:
                 received = self.sock.recv_into(free)
             self.buffer, self.start, self.end = buffer, 0, unread
--- a/tests/test_client_memory.py
+++ b/tests/test_client_memory.py
@@ -106,7 +106,7 @@
     def release_priority(self, now: float) -> float:
         return self.priority
 
-    def release_memory(self, now: float) -> None:
+    def release_memory(self, now: float, *, is_urgent: bool) -> None:
         self.size, self.was_released = 0, True
 
 
