A client that left is noticed also while its connection is not read

What callers saw: a client wrote much that can't be used with requests behind it, and closed; the requests were sent to cache hosts up to 1 s later, and ran a second time when the same ids came again on a new connection.

Cause: the end of a client's connection was seen by reading it alone. Reading pauses for misuse, for shed requests and for unsent answers; what was unread then was read and submitted after the pause, although its client had gone, and open requests of that client went on meanwhile.

Fix: the system knows: the state in `tcp_info` is not ESTABLISHED once the peer has closed, whatever lies unread before that. While a client's connection is open and not read, for whatever reason, it is asked every 0.05 s; it is asked too before a read after a pause, and before the next read where the last one took all that it asked for. If the client has gone, the connection ends there and the unread input is dropped: no answer is owed to it. Connections to cache hosts are read to their end as before, as answers may stand there.

Why it works: every pause goes through `Connection._update_reading`, and that is where the watch begins; where reading goes on, the end is read as before.

--- a/hoistplank/routing/client_session.py
+++ b/hoistplank/routing/client_session.py
@@ -89,6 +89,7 @@
         self.unfinished = UnfinishedRequests()  # as the last sweep found them
         self.connection = make_connection(sock, self.consume, MAX_RECORD_BYTES, MAX_UNSENT_BEFORE_PAUSE_BYTES)
         self.connection.max_read_bytes = UNTRUSTED_READ_BYTES
+        self.connection.drops_input_of_departed = True
         loop = asyncio.get_running_loop()
         self.opened_at = loop.time()
         self.misuse_throttle = MisuseThrottle(self.opened_at, frontend.misuse_budget)
--- a/hoistplank/routing/misuse_throttle.py
+++ b/hoistplank/routing/misuse_throttle.py
@@ -83,6 +83,7 @@
 
     def record_health_check(self) -> None:
         """Takes a health check from the allowance: it is answered at once, and so bounded by nothing else."""
+        self._has_valid_request = True
         self._cost += HEALTH_CHECK_COST
 
     def pause_s(self, now: float, stray_records: int) -> float:
--- a/hoistplank/transport/connection.py
+++ b/hoistplank/transport/connection.py
@@ -17,6 +17,9 @@
 # precede it.
 LAST_DATA_RECEIVED_OFFSET = 8 + 11 * 4
 TCP_INFO_BYTES = LAST_DATA_RECEIVED_OFFSET + 4
+# `tcpi_state`, the first byte of `struct tcp_info`, and its value while neither side has closed.
+TCP_STATE_BYTES, TCP_ESTABLISHED = 1, 1
+DEPARTURE_CHECK_S = 0.05
 FIONREAD_BYTES = 4  # the size of the integer that FIONREAD of tcp(7) writes
 INITIAL_BUFFER_BYTES = 8_192  # fits most requests and answer lines
 # How long a connection whose write side is shut waits for the peer to close. Data that crosses the close is
@@ -71,6 +74,11 @@
         self._ended: asyncio.Future[BaseException | None] = self.loop.create_future()
         self._close_timer: asyncio.TimerHandle | None = None
         self._reading_paused, self._reading_stopped = False, False
+        # Whether what is unread when the peer has closed is dropped: nobody awaits an answer to it. Otherwise
+        # it is read to its end, as an answer may be behind it.
+        self.drops_input_of_departed = False
+        self._may_have_more = False  # the last read took all that it asked for
+        self._departure_timer: asyncio.TimerHandle | None = None
 
     @property
     def is_closed(self) -> bool:
@@ -148,6 +156,29 @@
             return False
         return int.from_bytes(unread, sys.byteorder) > 0
 
+    def has_peer_left(self) -> bool:
+        """Returns whether the peer has closed the connection, also with input before that which is unread;
+        False if the kernel does not report that (`struct tcp_info` of tcp(7))."""
+        try:
+            info = self.sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, TCP_STATE_BYTES)
+        except OSError:
+            return False
+        return len(info) == TCP_STATE_BYTES and info[0] != TCP_ESTABLISHED
+
+    def _watch_for_departure(self) -> None:
+        """Checks from time to time whether the peer has left, while nothing is read that would show it."""
+        if self._departure_timer is None:
+            self._departure_timer = self.loop.call_later(DEPARTURE_CHECK_S, self._check_departure)
+
+    def _check_departure(self) -> None:
+        self._departure_timer = None
+        if self._is_reading or self._reading_stopped or self.state is not ConnectionState.OPEN:
+            return
+        if self.has_peer_left():
+            self._end(None)
+        else:
+            self._watch_for_departure()
+
     def pause_reading(self, seconds: float) -> None:
         """Pauses reading, so that what arrives meanwhile is read at once and answered in one write."""
         if not self._reading_paused and not self.is_closed:
@@ -157,6 +188,7 @@
 
     def _end_pause(self) -> None:
         self._reading_paused = False
+        self._may_have_more = True
         self._update_reading()
 
     def stop_reading(self) -> None:
@@ -177,11 +209,16 @@
         elif self._is_reading and not wanted:
             self.loop.remove_reader(self.sock)
         self._is_reading = wanted
+        if self.drops_input_of_departed and not wanted:
+            self._watch_for_departure()
 
     def _on_readable(self) -> None:
         if self.state is ConnectionState.WRITE_SHUT:
             self._discard_input()
             return
+        if self._may_have_more and self.drops_input_of_departed and self.has_peer_left():
+            self._end(None)
+            return
         try:
             for _ in range(self.max_reads_at_once):
                 self._read_from_socket()
@@ -203,6 +240,7 @@
             self._ensure_free_space()
         with memoryview(self.buffer) as view, view[self.end :] as free:
             received = self.sock.recv_into(free)
+            self._may_have_more = received == len(free)
         self._consume_received(received)
 
     def _consume_received(self, received: int) -> None:
@@ -296,9 +334,10 @@
             self.loop.remove_reader(self.sock)
             self._is_reading = False
         self._stop_writing()
-        if self._close_timer is not None:
-            self._close_timer.cancel()
-            self._close_timer = None
+        for timer in (self._close_timer, self._departure_timer):
+            if timer is not None:
+                timer.cancel()
+        self._close_timer = self._departure_timer = None
         if not self._ended.done():
             # Without the traceback, whose frames would keep this connection in a reference cycle.
             self._ended.set_result(error.with_traceback(None) if error is not None else None)
--- a/hoistplank/transport/shared_buffer.py
+++ b/hoistplank/transport/shared_buffer.py
@@ -26,6 +26,7 @@
             end = min(self.max_buffer_bytes, unread + max(self.max_read_bytes, unread))
             with memoryview(buffer) as view, view[unread:end] as free:
                 received = self.sock.recv_into(free)
+                self._may_have_more = received == len(free)
             self.buffer, self.start, self.end = buffer, 0, unread
             try:
                 self._consume_received(received)
--- a/hoistplank/transport/tls.py
+++ b/hoistplank/transport/tls.py
@@ -60,6 +60,7 @@
 
     def _read_from_socket(self) -> None:
         received = self.sock.recv_into(_encrypted_input)
+        self._may_have_more = received == len(_encrypted_input)
         if received == 0:
             self._end(None)
             return
