--- a/hoistplank/routing/client_session.py
+++ b/hoistplank/routing/client_session.py
@@ -16,6 +16,7 @@
 from hoistplank.routing.request_intake import RequestIntake, is_health_check
 from hoistplank.routing.response import FastCgiResponse
 from hoistplank.routing.router_task import RouterTask
+from hoistplank.routing.session_memory import SessionMemory
 from hoistplank.routing.standstill import unread_for_us
 from hoistplank.routing.unfinished_requests import UnfinishedRequests
 from hoistplank.transport.connection import INITIAL_BUFFER_BYTES, Connection, Consume
@@ -28,15 +29,10 @@
 MAX_UNSENT_BEFORE_PAUSE_BYTES = MAX_UNSENT_BYTES + MAX_REQUESTS * 245_760
 DEFERRED_ANSWER_US = 250_000  # a deferred request is submitted this long before its deadline
 SHED_READ_PAUSE_S = 0.02  # reading pause of a connection after one of its requests was shed
-# The order in which clients release memory: new holdings count as this old, those of a client that has sent
-# valid requests count less.
-MIN_HELD_S = 0.05
-SERVED_CLIENT_WEIGHT = 0.25
 # Reads are this small before a connection's first valid request, and while it misuses the protocol; then they
 # also wait while it doesn't read the replies.
 UNTRUSTED_READ_BYTES = 1_024
 MAX_UNSENT_REPLY_BYTES, UNSENT_REPLY_PAUSE_S = 65_536, 0.1
-SLOW_READER_S = 0.05  # without a whole answer written for this long, a client is not reading
 
 ConnectionFactory = Callable[[socket.socket, Consume, int, int], Connection]
 
@@ -62,7 +58,7 @@
         """Removes a session whose connection has ended."""
 
 
-class ClientSession:
+class ClientSession(SessionMemory):
     """One connection of a client, from accept to close.
 
     `identity` is the identity proven by its handshake, for the authorizer; `peer` is its remote address.
@@ -74,6 +70,7 @@
         self, frontend: SessionOwner, sock: socket.socket, peer: str, make_connection: ConnectionFactory
     ) -> None:
         self.frontend, self.intake = frontend, frontend.intake
+        self.rate_limited_log = frontend.rate_limited_log
         # Load shedding doesn't know the caller: with an authorizer, one tenant's herd would cause the
         # requests of all tenants to be shed.
         shed = frontend.shed if frontend.intake.authorizer is None else None
@@ -152,7 +149,7 @@
         if is_misusing and self.connection.unsent_bytes > MAX_UNSENT_REPLY_BYTES:
             pause_s = max(pause_s, UNSENT_REPLY_PAUSE_S)
         if pause_s > 0:
-            self.frontend.rate_limited_log.warning(
+            self.rate_limited_log.warning(
                 "unusable input, reading of client connection paused", stray_records=self.reader.stray_records
             )
             self.connection.pause_reading(pause_s)
@@ -198,7 +195,7 @@
     ) -> None:
         """Answers 400 at once, without an attempt. A request that exceeds a limit closes the connection, as
         the rest of it would have to be read."""
-        self.frontend.rate_limited_log.warning("invalid request rejected", wrong=error)
+        self.rate_limited_log.warning("invalid request rejected", wrong=error)
         response.send(400, (), b"")
         self.misuse_throttle.record_invalid_request(len(received.params) + len(received.body))
         if received.error:
@@ -253,14 +250,15 @@
         if self.has_failed:
             return
         self.has_failed = True
-        self.frontend.rate_limited_log.warning("unusable input, closing client connection", wrong=reason)
-        self._fail_open_requests()
+        self.rate_limited_log.warning("unusable input, closing client connection", wrong=reason)
+        self.fail_open_requests()
         self.reader.release_all()
         self.connection.stop_reading()
         self.connection.close_gracefully()
         self.frontend.count_held_bytes(self)
 
-    def _fail_open_requests(self) -> None:
+    def fail_open_requests(self) -> None:
+        """Fails all open requests of the client."""
         for number, request in list(self.open_requests.items()):
             if request is not None:
                 request.response.fail()
@@ -268,45 +266,6 @@
             self.open_requests.pop(number, None)
         self.deferred.clear()
 
-    # Memory.
-
-    def held_bytes(self) -> int:
-        """Returns the bytes that this client makes the process hold: what it sent, and answers that it has
-        not read."""
-        connection = self.connection
-        return self.reader.held_bytes + connection.held_input_bytes() + connection.held_output_bytes()
-
-    def release_priority(self, now: float) -> float:
-        """Returns how much is gained by releasing this client's memory: bytes by the time for which they have
-        been held, so that young requests and answers on their way to the client come last."""
-        held_s = max(self.unfinished.longest_s(now), self.connection.write_stalled_s(now))
-        weight = SERVED_CLIENT_WEIGHT if self.has_sent_request else 1.0
-        return self.held_bytes() * (MIN_HELD_S + held_s) * weight
-
-    def release_memory(self, now: float, *, is_urgent: bool) -> None:
-        """Fails the open requests of this client, and closes its connection if that doesn't help much.
-
-        The connection stays open if it does, because further requests of the client may be unread and each
-        complete request must be answered. A client that is reading its answers is spared unless it is urgent.
-        """
-        input_bytes = self.reader.held_bytes + self.connection.held_input_bytes()
-        if self.connection.held_output_bytes() > input_bytes:
-            if is_urgent or self.connection.write_stalled_s(now) >= SLOW_READER_S:
-                self._close_slow_reader()
-            return
-        self.frontend.rate_limited_log.warning(
-            "memory limit of requests exceeded, failing open requests", bytes=input_bytes
-        )
-        self._fail_open_requests()
-        if self.reader.held_bytes + self.connection.held_input_bytes() > input_bytes // 2:
-            self.close_with_failure("unfinished requests hold too much memory")
-
-    def _close_slow_reader(self) -> None:
-        self.frontend.rate_limited_log.warning(
-            "closing connection of slow-reading client", bytes=self.connection.unsent_bytes
-        )
-        self.connection.close()
-
     def close_when_idle(self, *, even_if_silent: bool = True) -> None:
         """Closes the connection once all open requests are answered and the answers are written."""
         self.is_closing, self.connection.on_all_written = True, self._on_all_written
@@ -318,7 +277,7 @@
         self.frontend.descriptors.release(ConnectionKind.CLIENT)
         error = None if task.cancelled() else task.exception() or task.result()
         if error is not None and not isinstance(error, OSError):
-            self.frontend.rate_limited_log.warning(
+            self.rate_limited_log.warning(
                 "client connection ended with an error", wrong=str(error) or type(error).__name__
             )
         self._disconnected()
--- a/hoistplank/routing/router_task.py
+++ b/hoistplank/routing/router_task.py
@@ -280,7 +280,6 @@
         self.router.handle(now, decision_events.EndpointsUpdated(event.form, endpoints))
 
     def _retire_connections(self, host: str) -> None:
-        self.router.parts.process_identity.forget(host)
         if self.pool is not None:
             self.pool.drain(host)
 
--- a/hoistplank/transport/connection.py
+++ b/hoistplank/transport/connection.py
@@ -4,23 +4,14 @@
 
 import asyncio
 import contextlib
-import fcntl
 import socket
-import sys
-import termios
 from collections.abc import Callable
 
+from hoistplank.transport import tcp_status
 from hoistplank.transport.errors import MessageTooLongError
 from hoistplank.transport.message_writer import ConnectionState, MessageWriter
 
-# Offset of `tcpi_last_data_recv` (ms) in `struct tcp_info`: eight single bytes and eleven 32-bit fields
-# precede it.
-LAST_DATA_RECEIVED_OFFSET = 8 + 11 * 4
-TCP_INFO_BYTES = LAST_DATA_RECEIVED_OFFSET + 4
-# `tcpi_state`, the first byte of `struct tcp_info`, and its value while neither side has closed.
-TCP_STATE_BYTES, TCP_ESTABLISHED = 1, 1
-DEPARTURE_CHECK_S = 0.05
-FIONREAD_BYTES = 4  # the size of the integer that FIONREAD of tcp(7) writes
+DEPARTURE_CHECK_S = 0.05  # between two checks whether the peer has left, while nothing is read
 INITIAL_BUFFER_BYTES = 8_192  # fits most requests and answer lines
 # How long a connection whose write side is shut waits for the peer to close. Data that crosses the close is
 # in transit for 50 ms at most, and the peer's own close arrives a round trip later.
@@ -138,32 +129,12 @@
                 return
 
     def last_arrival_age_us(self) -> int:
-        """Returns the time since the kernel received the peer's last bytes, read or not, or 0 if the kernel
-        does not report it (`struct tcp_info` of tcp(7))."""
-        try:
-            info = self.sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO_BYTES)
-        except OSError:
-            return 0
-        if len(info) < TCP_INFO_BYTES:
-            return 0
-        return int.from_bytes(info[LAST_DATA_RECEIVED_OFFSET:TCP_INFO_BYTES], sys.byteorder) * 1_000
+        """Returns the time since the kernel received the peer's last bytes, read or not; 0 if unknown."""
+        return tcp_status.last_arrival_age_us(self.sock)
 
     def has_unread_input(self) -> bool:
         """Returns whether the kernel holds input that is not read yet; False if it does not report that."""
-        try:
-            unread = fcntl.ioctl(self.sock, termios.FIONREAD, bytes(FIONREAD_BYTES))
-        except OSError:
-            return False
-        return int.from_bytes(unread, sys.byteorder) > 0
-
-    def has_peer_left(self) -> bool:
-        """Returns whether the peer has closed the connection, also with input before that which is unread;
-        False if the kernel does not report that (`struct tcp_info` of tcp(7))."""
-        try:
-            info = self.sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, TCP_STATE_BYTES)
-        except OSError:
-            return False
-        return len(info) == TCP_STATE_BYTES and info[0] != TCP_ESTABLISHED
+        return tcp_status.has_unread_input(self.sock)
 
     def _watch_for_departure(self) -> None:
         """Checks from time to time whether the peer has left, while nothing is read that would show it."""
@@ -174,7 +145,7 @@
         self._departure_timer = None
         if self._is_reading or self._reading_stopped or self.state is not ConnectionState.OPEN:
             return
-        if self.has_peer_left():
+        if tcp_status.has_peer_left(self.sock):
             self._end(None)
         else:
             self._watch_for_departure()
@@ -216,7 +187,7 @@
         if self.state is ConnectionState.WRITE_SHUT:
             self._discard_input()
             return
-        if self._may_have_more and self.drops_input_of_departed and self.has_peer_left():
+        if self._may_have_more and self.drops_input_of_departed and tcp_status.has_peer_left(self.sock):
             self._end(None)
             return
         try:
--- a/hoistplank/transport/pool.py
+++ b/hoistplank/transport/pool.py
@@ -107,7 +107,9 @@
             self.connections.setdefault(host, []).append(PooledConnection(self, host, address))
 
     def drain(self, host: str) -> None:
-        """Sends no new request on the host's present connections; each is closed after its last request."""
+        """Sends no new request on the host's present connections; each is closed after its last request. They
+        say nothing of the process that the list names from now on."""
+        self.identity.forget(host)
         for pooled in list(self.connections.get(host, ())):
             pooled.stop_taking_requests()
             if not pooled.in_flight:
