A repeat known in a zone or cell alone isn't sent to a process that may be another one

Cause: `RetryPolicy._drops_repeat` compares the zone and cell that the list gives a host with those of the host where the first attempt may have run. They are those of the process that the list names; after all its connections broke, whoever listens at its address by now is unknown, and another zone's host drops no repeat. "What breaks is retried at the same cache once" sends it there first.

Evidence: shown at the decision logic, as all deployments at hand let bookings go straight to the origin: the new test without the fix sends the repeat to the same host, over a new connection.

Fix and why it works: for 7 s after a host ended or refused a connection, after which the list has told of it, a repeat that is known in its zone or cell alone goes there only if a connection from before that still stands, which proves the process; another cache that knows of the first run takes it.

--- a/hoistplank/decision/parts.py
+++ b/hoistplank/decision/parts.py
@@ -52,7 +52,7 @@
         self.fills = types.fills(settings, self.health, class_states)
         self.purges = PurgeWatermarks(settings.purge_hold_us, self.list_confirmation.copies_valid_from_us)
         self.herds = types.herds(self.purges, self.health)
-        self.retries = RetryPolicy(settings, random)
+        self.retries = RetryPolicy(settings, self.process_identity, random)
         self.overload = OverloadGuard(settings)
         self.stalls = types.stalls(self.health, self.overload)
         self.ranking = HostRanking(self.hosts)
--- a/hoistplank/decision/placement.py
+++ b/hoistplank/decision/placement.py
@@ -121,9 +121,11 @@
         return EndReason.NO_HOST if self._may_attempt_again(now_us, request) else EndReason.NO_ATTEMPT_LEFT
 
     def _may_attempt_again(self, now_us: int, request: Request) -> bool:
-        """Returns True if a further attempt is allowed at least at the host where the first may have run."""
+        """Returns True if a further attempt is allowed where the first may have run, or at a cache that knows
+        of it."""
         first_run = request.first_run
-        if not self.retries.may_attempt(now_us, request, first_run.host if first_run is not None else None):
+        hosts = (None,) if first_run is None else (first_run.host, *self.hosts.caches)
+        if not any(self.retries.may_attempt(now_us, request, host) for host in hosts):
             return False
         return self.retries.fits_budget(now_us, request)
 
@@ -263,6 +265,7 @@
                 self.host_limits.has_capacity(now_us, cache)
                 and self.identity.permits_host(now_us, cache.name)
                 and self.slow_start.fits_budget(now_us, cache, sending_time_us)
+                and (request.first_run is None or self.retries.may_attempt(now_us, request, cache))
             ):
                 return cache
         return None
--- a/hoistplank/decision/process_identity.py
+++ b/hoistplank/decision/process_identity.py
@@ -10,7 +10,7 @@
 
 from dataclasses import dataclass
 
-from hoistplank.decision.list_confirmation import NEVER_US, ListConfirmation
+from hoistplank.decision.list_confirmation import CHANGES_RECEIVED_US, NEVER_US, ListConfirmation
 
 # A new connection within this time of the list's last confirmation counts as one to the listed process,
 # unless an earlier connection broke: a host drains for longer before another one takes its address.
@@ -114,6 +114,16 @@
             return False
         return self.vouches_for_addresses(now_us) or self.is_host_verified(host)
 
+    def may_be_another_process(self, now_us: int, host: str) -> bool:
+        """Returns True if a host's connections broke and the list need not tell yet that it has gone: whoever
+        answers at its address may be another host, of another zone or cell."""
+        broken_us = self._broken_us.get(host)
+        if broken_us is None or now_us >= broken_us + CHANGES_RECEIVED_US:
+            return False
+        return not any(
+            connection.established_us < broken_us for connection in self._connections.get(host, ())
+        )
+
     def is_host_verified(self, host: str) -> bool:
         """Returns True if there is a verified connection to a host."""
         return any(self.is_verified(connection) for connection in self._connections.get(host, ()))
--- a/hoistplank/decision/retries.py
+++ b/hoistplank/decision/retries.py
@@ -7,7 +7,8 @@
 
 from hoistplank.decision.actions import EndReason, Fail, Reject, RejectionBasis
 from hoistplank.decision.events import AttemptEnded, CacheStatus, Outcome
-from hoistplank.decision.hosts import AttemptCounts, Host
+from hoistplank.decision.hosts import ORIGIN, AttemptCounts, Host
+from hoistplank.decision.process_identity import ProcessIdentity
 from hoistplank.decision.requests import Attempt, PossibleRun, Request
 from hoistplank.decision.settings import (
     DEDUPLICATED_EVERYWHERE,
@@ -53,8 +54,11 @@
 class RetryPolicy:
     """Decides whether a request may be attempted again, and with which answer it is given up otherwise."""
 
-    def __init__(self, settings: RouterSettings, random: Callable[[], float]) -> None:
+    def __init__(
+        self, settings: RouterSettings, identity: ProcessIdentity, random: Callable[[], float]
+    ) -> None:
         self.settings = settings
+        self.identity = identity
         self.rules = settings.rules
         self.random = random
         self.degradation = Degradation()
@@ -91,12 +95,17 @@
             return False
         if traffic_class.deduplication_scope == DEDUPLICATED_EVERYWHERE:
             return True
-        if host is None:
+        if host is None or self._may_be_replaced(now_us, host):
             return False
         if traffic_class.deduplication_scope == DEDUPLICATED_IN_ZONE:
             return first_run.host.zone == host.zone
         return first_run.host.cell == host.cell
 
+    def _may_be_replaced(self, now_us: int, host: Host) -> bool:
+        """Returns True if a host of another zone or cell may answer at this host's address: it would know
+        nothing of what ran here."""
+        return host.tier != ORIGIN and self.identity.may_be_another_process(now_us, host.name)
+
     def start_by_us(self, request: Request) -> int:
         """Returns the latest start of a request's next attempt, connection setup included; 0 for no
         bound."""
