What is remembered of objects has a bound that follows the memory limit

The new test fails without the bound: 1,000 herds of 100.

Fix and why it works: `HerdTable.max_bytes`, set by the program to half of the clients' bound, counts a herd with 960 bytes and 8 for each host in its order; the herd whose last request is oldest goes first, which costs a fill at most. The simulator sets none, so its decisions are as before.

--- a/hoistplank/decision/herds.py
+++ b/hoistplank/decision/herds.py
@@ -15,6 +15,8 @@
 COOLDOWN_US = 8_000_000
 # A herd without requests for longer than the cooldown holds nothing of use.
 HERD_EXPIRY_US = 10_000_000
+# The memory of a herd without its order of hosts, and of each host in that.
+HERD_BYTES, ORDERED_HOST_BYTES = 960, 8
 
 
 class HerdTable:
@@ -24,6 +26,7 @@
         self.purges = purges
         self.health = health
         self.by_fingerprint: OrderedDict[tuple[str, int, str], Herd] = OrderedDict()
+        self.max_bytes: int | None = None  # None: no bound but the expiry
 
     def join(self, now_us: int, request: Request) -> Herd:
         """Adds a request to its herd; `in_herd` is set if the token bucket is empty."""
@@ -40,12 +43,20 @@
         herds.move_to_end(fingerprint)
         while next(iter(herds.values())).last_request_us < now_us - HERD_EXPIRY_US:
             herds.popitem(last=False)
+        if self.max_bytes is not None and len(herds) > self._max_herds(self.max_bytes):
+            # Clients that ask for ever new objects must not fill the memory within the expiry.
+            herds.popitem(last=False)
         request.herd = herd
         request.in_herd = herd.tokens < 1
         if not request.in_herd:
             herd.tokens -= 1
         return herd
 
+    def _max_herds(self, max_bytes: int) -> int:
+        hosts = self.health.hosts
+        ordered_hosts = len(hosts.caches) + len(hosts.parents)
+        return max(1, max_bytes // (HERD_BYTES + ORDERED_HOST_BYTES * ordered_hosts))
+
     def make_leader(self, attempt: Attempt) -> None:
         """Makes a fill the leader of its herd if the herd has none."""
         herd = attempt.request.herd
--- a/hoistplank/program/service.py
+++ b/hoistplank/program/service.py
@@ -19,6 +19,7 @@
 from hoistplank.program.phase import Phase
 from hoistplank.program.state_log import StateLog
 from hoistplank.routing.cache_host_reader import make_answer_reader
+from hoistplank.routing.client_memory import herd_memory_bytes
 from hoistplank.routing.clock import Clock
 from hoistplank.routing.endpoint_watcher import EndpointWatcher
 from hoistplank.routing.frontend import Frontend
@@ -72,6 +73,8 @@
         self.router_task.pool = self._make_pool()
         self.host_prober = HostProber(self.router_task, self.router_task.pool)
         self.frontend = self._make_frontend()
+        herds = self.router_task.router.parts.herds
+        herds.max_bytes = herd_memory_bytes(self.frontend.memory.limit_bytes)
         self.endpoint_watcher = self._make_endpoint_watcher()
         self.router_task.standstills.read_pending = self._read_pending
         self.state_log = StateLog(self)
--- a/hoistplank/routing/client_memory.py
+++ b/hoistplank/routing/client_memory.py
@@ -11,6 +11,7 @@
 MAX_SHARE, MIN_SHARE = 1 / 4, 1 / 32
 # Of what the program itself leaves; the rest is for copies that are made on the way, and for cache hosts.
 HEADROOM_SHARE = 1 / 2
+HERD_SHARE = 1 / 2  # of the clients' bound, and in addition to it
 CONNECTION_BYTES = 4_096  # of a client's connection that holds nothing
 # Once the bound is exceeded, so much of it is freed at once: a search for each further byte would cost the
 # core.
@@ -26,6 +27,11 @@
     return int(max(memory_limit_bytes * MIN_SHARE, wanted))
 
 
+def herd_memory_bytes(client_bytes: int) -> int:
+    """Returns the bound on what is remembered of objects, whose names clients choose."""
+    return int(client_bytes * HERD_SHARE)
+
+
 def resident_bytes() -> int:
     """Returns the resident memory of this process, 0 if the system doesn't report it."""
     try:
--- a/tests/test_client_memory.py
+++ b/tests/test_client_memory.py
@@ -9,11 +9,14 @@
 
 import pytest
 
+from hoistplank.decision.events import Endpoint, EndpointListForm, EndpointsUpdated, RequestArrived
+from hoistplank.decision.herds import HERD_BYTES, ORDERED_HOST_BYTES
+from hoistplank.decision.router import Router
 from hoistplank.fakes.wire import FastCgiClient, ScriptedCacheHost
 from hoistplank.protocol import fastcgi
 from hoistplank.routing.client_memory import ClientMemory, client_memory_bytes
 from tests.dispatcher_scene import SteadyDispatcher, request_bytes, served
-from tests.helpers import Running
+from tests.helpers import SITE, Running
 from tests.scene_runner import run_scene
 
 MEMORY_MB = 32
@@ -128,3 +131,18 @@
     written.size = 0
     memory.release(0.0)
     assert not written.was_released and not held.was_released and memory.held_bytes == 20
+
+
+def test_ever_new_objects_are_remembered_within_a_bound() -> None:
+    """Guards against memory that grows with the rate of new objects, as each is remembered for 10 s."""
+    router = Router(SITE, 1)
+    rows = [Endpoint("a", "z1", "box", 0, 5.0, 0, "up"), Endpoint("o", "z1", "origin", 0, 5.0, 0, "up")]
+    router.handle(0, EndpointsUpdated(EndpointListForm.SNAPSHOT, rows))
+    herds = router.parts.herds
+    herds.max_bytes = 100 * (HERD_BYTES + ORDERED_HOST_BYTES)
+    for number in range(1_000):
+        router.handle(number, RequestArrived(f"r{number}", "page", f"x{number}", 0, 0, 1.0, 2_000_000, False))
+        while router.next_action(number) is not None:
+            pass
+    assert len(herds.by_fingerprint) == 100
+    assert ("x999", 0, "page") in herds.by_fingerprint and ("x1", 0, "page") not in herds.by_fingerprint
