A host that broke shortly before the last confirmation is not verified by it

The log may confirm a list without a host that had gone a moment before, and tell of it in the outage that follows: a connection made between the break and the confirmation could lead to whoever took the address, and counted as verified for the whole outage. A break within the 7 s before the confirmation now leaves later connections of that host unverified until an older one attests them. The table's row for this failed before. Hosts that broke are remembered up to 4,096, as one that was removed could leave its entry behind.

--- a/hoistplank/decision/process_identity.py
+++ b/hoistplank/decision/process_identity.py
@@ -15,6 +15,7 @@
 # A new connection within this time of the list's last confirmation counts as one to the listed process,
 # unless an earlier connection broke: a host drains for longer before another one takes its address.
 VERIFYING_WINDOW_US = 2_000_000
+MAX_BROKEN_HOSTS = 4_096  # the latest; a host that was removed since may be among them
 
 
 @dataclass(slots=True, eq=False)
@@ -63,7 +64,10 @@
 
     def connection_broken(self, now_us: int, host: str) -> None:
         """Records that a host ended or refused a connection: its process may be gone."""
+        self._broken_us.pop(host, None)
         self._broken_us[host] = now_us
+        if len(self._broken_us) > MAX_BROKEN_HOSTS:
+            del self._broken_us[next(iter(self._broken_us))]
 
     def probe_answered(self, connection: HostConnection, sent_us: int, *, is_healthy: bool) -> None:
         """Records the answer to a health probe that was sent at `sent_us` on a verified connection."""
@@ -91,12 +95,13 @@
     def is_verified(self, connection: HostConnection) -> bool:
         """Returns True if a connection is known to lead to the process that the list names."""
         since_us = self.list_confirmation.unconfirmed_since_us
-        if since_us is None or connection.is_attested or connection.established_us <= since_us:
+        if since_us is None or connection.is_attested:
             return True
         if connection.established_us > since_us + VERIFYING_WINDOW_US:
             return False
+        # The list may have been confirmed without a host that had gone in the last moments before.
         broken_us = self._broken_us.get(connection.host, NEVER_US)
-        return not since_us < broken_us <= connection.established_us
+        return not since_us - CHANGES_RECEIVED_US < broken_us <= connection.established_us
 
     def vouches_for_addresses(self, now_us: int) -> bool:
         """Returns True if new connections may be used, since the list is recent enough."""
--- a/tests/test_discovery_outage.py
+++ b/tests/test_discovery_outage.py
@@ -24,7 +24,7 @@
 OUTAGE_S = 11.0
 # A change counts as received after 7 s; a drain has a grace of 0.25 s, and 0.05 s are for the sockets.
 RECEIVED_S = 7.3
-LOST_US = 1_000_000
+LOST_US = 10_000_000
 
 
 class Load:
@@ -125,7 +125,9 @@
         (LOST_US + VERIFYING_WINDOW_US + 1, 0, False),
         (LOST_US + 100, LOST_US + 50, False),  # an earlier connection broke: it may be another process
         (LOST_US + 100, LOST_US + 200, True),
-        (LOST_US + 100, LOST_US - 50, True),  # it broke while the list was confirmed
+        (LOST_US + 100, LOST_US - 50, False),  # it broke just before, and the list need not have told yet
+        (LOST_US - 10, LOST_US - 50, False),
+        (LOST_US - 10, LOST_US - CHANGES_RECEIVED_US - 50, True),
     ],
 )
 def test_connection_is_verified_by_when_it_was_established(
