Clients that hold little release nothing while others that hold much are spared

Where clients that read their answers hold more than the bound, went on down its list and failed the open requests of everybody else, who had no part in it. Found by reading it again. Who holds less than half of the mean is left alone; the new test fails without that.

--- a/hoistplank/routing/client_memory.py
+++ b/hoistplank/routing/client_memory.py
@@ -16,6 +16,7 @@
 # Once the bound is exceeded, so much of it is freed at once: a search for each further byte would cost the
 # core.
 RELEASED_SHARE = 1 / 4
+MIN_BLAME = 1 / 2  # of what a client holds in the mean: with less, it releases nothing
 # Above this multiple of the bound, nobody is spared any more.
 URGENT_FACTOR = 2
 
@@ -95,8 +96,10 @@
     def _release_until(self, target_bytes: float, now: float, *, is_urgent: bool) -> None:
         if self.held_bytes <= target_bytes:
             return
-        by_priority = sorted(self._counted, key=lambda holder: holder.release_priority(now), reverse=True)
-        for holder in by_priority:
+        # Those that hold little are not to blame, and little is gained by them.
+        min_held = self.held_bytes / len(self._counted) * MIN_BLAME
+        holders = [holder for holder, held in self._counted.items() if held >= min_held]
+        for holder in sorted(holders, key=lambda holder: holder.release_priority(now), reverse=True):
             if self.held_bytes <= target_bytes:
                 break
             holder.release_memory(now, is_urgent=is_urgent)
--- a/tests/test_client_memory.py
+++ b/tests/test_client_memory.py
@@ -124,6 +124,20 @@
     assert memory.held_bytes == 0
 
 
+def test_those_that_hold_little_keep_it() -> None:
+    """Guards against open requests of innocent clients that fail, where those that hold much are spared."""
+
+    class Spared(Holder):
+        def release_memory(self, now: float, *, is_urgent: bool) -> None:
+            pass
+
+    memory = ClientMemory(100)
+    large, little = Spared(110, 1.0), Holder(5, 9.0)
+    assert not memory.update(little) and memory.update(large)
+    memory.release(0.0)
+    assert not little.was_released
+
+
 def test_memory_that_was_freed_meanwhile_is_counted_again_before_any_is_released() -> None:
     memory = ClientMemory(100)
     written, held = Holder(90, 2.0), Holder(20, 1.0)
