Further connections are tried once a second, and only a closed state counts as departed

HostProber tried a second connection to a host ten times a second where each attempt was refused. And a kernel (or a library in its place) that reports no TCP state would have had each client count as gone while its connection is not read: only CLOSE and CLOSE_WAIT do now.

--- a/hoistplank/routing/host_prober.py
+++ b/hoistplank/routing/host_prober.py
@@ -29,6 +29,7 @@
         self._numbers: Iterator[int] = count()
         # The last probe of each connection: its id and the time at which it was sent.
         self._probes: dict[PooledConnection, tuple[str, int]] = {}
+        self._connected_us: dict[str, int] = {}  # by host, when a further connection was last opened
 
     def tick(self) -> None:
         """Sends the probes and opens the connections that are due."""
@@ -36,6 +37,7 @@
         since_us = self.identity.list_confirmation.unconfirmed_since_us
         if since_us is None:
             self._probes.clear()
+            self._connected_us.clear()
             return
         if now_us < since_us + START_DELAY_US:
             return
@@ -50,7 +52,7 @@
             self._probe_if_due(now_us, pooled)
         if not self.identity.may_still_verify(now_us):
             for host in dict.fromkeys(pooled.host for pooled in verified):
-                self._connect_if_few(host)
+                self._connect_if_few(now_us, host)
         self._forget_closed(verified)
 
     def _connect(self, host: str) -> None:
@@ -58,13 +60,15 @@
         if registered is not None and self.router_task.endpoints.is_up(host):
             self.pool.open_connection(host, registered.address)
 
-    def _connect_if_few(self, host: str) -> None:
+    def _connect_if_few(self, now_us: int, host: str) -> None:
         """Opens a connection that may be attested later, if those in use are few or full."""
         connections = [pooled for pooled in self.pool.connections.get(host, ()) if not pooled.is_draining]
         if any(not pooled.is_verified() for pooled in connections):
             return  # one is being established, or waits to be attested
         is_full = all(len(pooled.in_flight) >= self.pool.max_requests for pooled in connections)
-        if is_full or len(connections) < self.pool.connections_per_host:
+        is_due = now_us - self._connected_us.get(host, 0) >= PROBE_INTERVAL_US
+        if is_due and (is_full or len(connections) < self.pool.connections_per_host):
+            self._connected_us[host] = now_us
             self._connect(host)
 
     def _probe_if_due(self, now_us: int, pooled: PooledConnection) -> None:
--- a/hoistplank/transport/tcp_status.py
+++ b/hoistplank/transport/tcp_status.py
@@ -7,8 +7,9 @@
 import sys
 import termios
 
-# `tcpi_state`, the first byte of `struct tcp_info`, and its value while neither side has closed.
-TCP_STATE_BYTES, TCP_ESTABLISHED = 1, 1
+# `tcpi_state`, the first byte of `struct tcp_info`, and its values once the peer has closed or reset.
+TCP_STATE_BYTES = 1
+TCP_CLOSE, TCP_CLOSE_WAIT = 7, 8
 # Offset of `tcpi_last_data_recv` (ms): eight single bytes and eleven 32-bit fields precede it.
 LAST_DATA_RECEIVED_OFFSET = 8 + 11 * 4
 TCP_INFO_BYTES = LAST_DATA_RECEIVED_OFFSET + 4
@@ -22,7 +23,7 @@
         info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, TCP_STATE_BYTES)
     except OSError:
         return False
-    return len(info) == TCP_STATE_BYTES and info[0] != TCP_ESTABLISHED
+    return len(info) == TCP_STATE_BYTES and info[0] in (TCP_CLOSE, TCP_CLOSE_WAIT)
 
 
 def last_arrival_age_us(sock: socket.socket) -> int:
